--- /dev/null
+++ b/oatlink/__init__.py
@@ -0,0 +1,6 @@
+"""oatlink: the decisions of a query router for sharded, replicated databases."""
+
+from oatlink.interface import *  # noqa: F403
+from oatlink.rules import Router
+
+__all__ = ["Router", "interface"]  # noqa: F405
--- /dev/null
+++ b/oatlink/adapter.py
@@ -0,0 +1,369 @@
+"""The simulator's wire on standard input and output, for many routers that share nothing.
+
+Run as `python -m oatlink.adapter`. This file translates and decides nothing.
+"""
+
+import math
+import sys
+from typing import BinaryIO, TypeVar, Union
+
+import msgspec
+from msgspec import field
+
+from oatlink import interface as api
+from oatlink.rules import Router
+
+FRESHNESS = {"update": api.Freshness.WRITE, "latest": api.Freshness.LATEST, "loose": api.Freshness.ANY,
+             "own_writes": api.Freshness.SESSION, "recent": api.Freshness.BOUNDED}
+EFFECTS = {"idempotent": api.Effect.IDEMPOTENT, "deduplicated": api.Effect.KEYED,
+           "at_most_once": api.Effect.UNSAFE}
+OUTCOMES = {"GOOD": api.Outcome.SERVED, "BAD": api.Outcome.ERROR, "FULL": api.Outcome.FULL,
+            "LATE": api.Outcome.LATE, "NOCONN": api.Outcome.NO_CONNECTION, "RST": api.Outcome.RESET,
+            "CXL": api.Outcome.CANCELLED, "NOP": api.Outcome.NOT_SENT, "MISS": api.Outcome.MISS}
+LISTINGS = {"Ready": api.Listing.READY, "Terminating": api.Listing.TERMINATING, "Gone": api.Listing.GONE}
+ROSTERS = {"diff": api.RosterKind.CHANGES, "snapshot": api.RosterKind.WHOLE, "disk": api.RosterKind.SAVED,
+           "error": api.RosterKind.FAILED}
+NOTE_ROLES = {1: api.Role.PRIMARY, 2: api.Role.REPLICA}
+
+T = TypeVar("T")
+
+
+class WireError(Exception):
+    """Input that the wire does not allow, in plain words."""
+
+
+class Wire(msgspec.Struct, rename="pascal", frozen=True):
+    """Base of all that is read: names in the wire's case, unknown fields passed over."""
+
+
+class ClassOptions(Wire):
+    name: str
+    goal_time_us: int
+    deadline_us: int
+    effect: str
+    gain: float
+    late_worth: float = 0.0
+    window_us: int = 0
+
+
+class FamilyOptions(Wire):
+    freshness: list[str]
+    lag_allowed_us: list[int] = field(default_factory=list)
+    base_time_us: int = 0
+    answers_stamped: bool = False
+    server_checks: str = "off"
+    session_marks: str = "client"
+
+
+class LimitOptions(Wire):
+    max_attempts: int = 6
+    max_open: int = 20_000
+    may_probe: bool = False
+    cancel: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_us: int = 0
+    dial_timeout_us: int = 250_000
+
+
+class Obligations(Wire):
+    ask_within_us: int = 10_000_000
+    cold_share: float = 1.0
+    warm_after_us: int = 0
+    overload_factor: float = 3.0
+    fall_us: int = 2_000_000
+    dropped_stay_open: bool = False
+
+
+class Tenant(Wire):
+    name: str
+    allowance_per_s: float
+
+
+class Options(Wire):
+    classes: list[ClassOptions]
+    family_info: FamilyOptions
+    zone: str
+    discovery: str = "push"
+    limits: LimitOptions = field(default_factory=LimitOptions)
+    obligations: Obligations = field(default_factory=Obligations)
+    peers_total: int = 1
+    step_us: int = 1_000
+    tenants: list[Tenant] = field(default_factory=list)
+    over_share_worth: float = 1.0
+
+
+class Line(Wire):
+    server: int
+    group: int
+    locality: str = ""
+    sku: str = ""
+    health: str = "Ready"
+    is_primary: float = 0
+    power_hint: float = 1.0
+    came_up_us: int = 0
+
+
+class Roster(Wire, tag_field="event_type", tag="Roster"):
+    bank: int
+    lines: list[Line]
+
+
+class Addressed(Wire, tag_field="event_type"):
+    """Base of the events that name an instance."""
+
+    gateway_id: str
+
+
+class Boot(Addressed, tag="Boot"):
+    nonce64: int
+    options: Options
+
+
+class Membership(Addressed, tag="Membership"):
+    mode: str
+    bank: int = 0
+
+
+class JobIn(Addressed, tag="JobIn"):
+    rid: str
+    qos: str
+    shard: int
+    expires_in_us: int
+    bitmap: int = 0
+    owner: str | int = 0
+    user: str | None = None
+    last_write_ms: float | None = None
+
+
+class Aborted(Addressed, tag="Aborted"):
+    rid: str
+
+
+class AttemptEnd(Addressed, tag="AttemptEnd"):
+    rid: str
+    hop: int
+    server: int
+    ending: str
+    duration_us: int = 0
+    over: bool = False
+    pos_role: int = 0
+    metrics: dict[str, float] | None = None
+
+
+class Sampled(Addressed, tag="Sampled"):
+    server: int
+    ending: str
+    duration_us: int = 0
+    metrics: dict[str, float] | None = None
+
+
+class Fired(Addressed, tag="Fired"):
+    cookie: str
+
+
+class Halt(Addressed, tag="Halt"):
+    """The instance dies."""
+
+
+class Mail(Addressed, tag="Mail"):
+    """A word from a peer; this project takes none."""
+
+
+class Established(Addressed, tag="Established"):
+    """A stream has started; this project's classes do not stream."""
+
+
+WireEvent = Union[Roster, Boot, Membership, JobIn, Aborted, AttemptEnd, Sampled, Fired, Halt, Mail, Established]
+
+
+class Batch(msgspec.Struct, frozen=True):
+    events: list[WireEvent]
+    now_us: int = field(name="NowUs")
+
+
+def word(table: dict[str, T], key: str, what: str) -> T:
+    """Translate one word of the wire."""
+    if key not in table:
+        raise WireError(f"unknown {what} {key!r}")
+    return table[key]
+
+
+def to_settings(boot: Boot) -> api.Settings:
+    """The router's settings from an instance's first message."""
+    options, family, limits = boot.options, boot.options.family_info, boot.options.limits
+    if len(family.freshness) != len(options.classes):
+        raise WireError("FamilyInfo.Freshness does not match Classes")
+    lags = family.lag_allowed_us or [0] * len(options.classes)
+    classes = tuple(
+        api.RequestClass(
+            name=one.name, freshness=word(FRESHNESS, fresh, "freshness"), effect=word(EFFECTS, one.effect, "effect"),
+            aim_us=one.goal_time_us, deadline_us=one.deadline_us, worth=one.gain, late_worth=one.late_worth,
+            staleness_us=lag, repeat_window_us=one.window_us)
+        for one, fresh, lag in zip(options.classes, family.freshness, lags))
+    rules = options.obligations
+    return api.Settings(
+        seed=boot.nonce64, zone=options.zone, classes=classes, peers=options.peers_total, step_us=options.step_us,
+        tenant_rates=tuple((one.name, one.allowance_per_s) for one in options.tenants),
+        over_share_worth=options.over_share_worth, max_attempts=limits.max_attempts, max_open=limits.max_open,
+        may_probe=limits.may_probe, may_cancel=limits.cancel, second_copies=limits.second_copies,
+        max_retry_after_us=limits.max_retry_after_us if limits.retry_after else 0,
+        must_ask_roster=options.discovery == "ask", ask_within_us=rules.ask_within_us,
+        dial_timeout_us=limits.dial_timeout_us, members_check_reads=family.server_checks != "off",
+        answers_stamped=family.answers_stamped, router_remembers_sessions=family.session_marks == "router",
+        cold_share=rules.cold_share, warm_after_us=rules.warm_after_us, overload_factor=rules.overload_factor,
+        fall_us=rules.fall_us, dropped_stay_open=rules.dropped_stay_open)
+
+
+class Instance:
+    """One router and what its wire needs remembered: units and attempts' base time."""
+
+    def __init__(self, boot: Boot) -> None:
+        self.router = Router(to_settings(boot))
+        self.base_us = boot.options.family_info.base_time_us
+
+    def note(self, pos_role: int) -> api.Report | None:
+        """An answer's note: milliseconds x 4 + role."""
+        if pos_role == 0:
+            return None
+        position, role = divmod(pos_role, 4)
+        return api.Report(self.base_us + position * 1000 if position else None,
+                          NOTE_ROLES.get(role, api.Role.UNKNOWN))
+
+    def report(self, metrics: dict[str, float] | None) -> api.Report | None:
+        """A load report: x0 in seconds, x1 the role."""
+        if not metrics:
+            return None
+        seconds, primary = metrics.get("x0"), metrics.get("x1")
+        role = api.Role.UNKNOWN
+        if primary is not None:
+            role = api.Role.PRIMARY if primary >= 0.5 else api.Role.REPLICA
+        return api.Report(None if seconds is None else self.base_us + math.floor(seconds * 1e6), role)
+
+    def to_event(self, event: WireEvent, lists: dict[int, tuple[api.RosterEntry, ...]]) -> api.Event | None:
+        """The router's event for one of the wire's."""
+        match event:
+            case JobIn():
+                return api.Arrival(
+                    request=event.rid, class_name=event.qos, group=event.shard, expires_in_us=event.expires_in_us,
+                    session=event.user, tenant=event.owner if isinstance(event.owner, str) else None,
+                    since_write_us=math.floor(event.last_write_ms * 1000) if event.last_write_ms else None,
+                    repeated=bool(event.bitmap & 2))
+            case AttemptEnd():
+                return api.AttemptEnded(
+                    request=event.rid, attempt=event.hop, member=event.server,
+                    outcome=word(OUTCOMES, event.ending, "outcome"), duration_us=event.duration_us, over=event.over,
+                    answer=self.note(event.pos_role), report=self.report(event.metrics))
+            case Fired():
+                return api.TimerFired(event.cookie)
+            case Sampled():
+                return api.Checked(event.server, word(OUTCOMES, event.ending, "outcome"), event.duration_us,
+                                   self.report(event.metrics))
+            case Aborted():
+                return api.Departure(event.rid)
+            case Membership():
+                kind = word(ROSTERS, event.mode, "membership mode")
+                if kind is api.RosterKind.FAILED:
+                    return api.Roster(kind)
+                if event.bank not in lists:
+                    raise WireError(f"membership names an unknown list {event.bank}")
+                return api.Roster(kind, lists[event.bank])
+        return None
+
+
+def to_wire(action: api.Action, gateway: str) -> dict[str, object]:
+    """The wire's action for one of the router's."""
+    match action:
+        case api.Send():
+            return {"event_type": "Dispatch", "GatewayId": gateway, "Rid": action.request, "Server": action.member}
+        case api.SetTimer():
+            return {"event_type": "SetTimer", "GatewayId": gateway, "Cookie": action.name, "TimeUs": action.at_us}
+        case api.Refuse():
+            return {"event_type": "Deny", "GatewayId": gateway, "Rid": action.request,
+                    "RetryAfterUs": action.retry_after_us}
+        case api.Fail():
+            return {"event_type": "FinishError", "GatewayId": gateway, "Rid": action.request}
+        case api.Cancel():
+            return {"event_type": "AbortAttempt", "GatewayId": gateway, "Rid": action.request, "Hop": action.attempt}
+        case api.Check():
+            return {"event_type": "Sample", "GatewayId": gateway, "Server": action.member}
+        case api.DropIdle():
+            return {"event_type": "Disconnect", "GatewayId": gateway, "Server": action.member}
+        case api.FollowRoster():
+            return {"event_type": "Follow", "GatewayId": gateway, "Want": True}
+        case api.FetchRoster():
+            return {"event_type": "Lookup", "GatewayId": gateway}
+        case api.Log():
+            return {"event_type": "Debug", "GatewayId": gateway, "ReasonText": action.text}
+
+
+class Adapter:
+    """Feeds batches to the instances and gathers their actions."""
+
+    def __init__(self) -> None:
+        self._decoder = msgspec.json.Decoder(Batch)
+        self._instances: dict[str, Instance] = {}
+        self._lists: dict[int, tuple[api.RosterEntry, ...]] = {}
+
+    def _one(self, event: WireEvent, now_us: int) -> list[dict[str, object]]:
+        """Handle one event."""
+        if isinstance(event, Roster):
+            self._lists[event.bank] = tuple(
+                api.RosterEntry(
+                    member=line.server, group=line.group, zone=line.locality, kind=line.sku,
+                    listing=word(LISTINGS, line.health, "health"), primary=line.is_primary >= 0.5,
+                    size=line.power_hint, started_us=line.came_up_us)
+                for line in event.lines)
+            return []
+        gateway = event.gateway_id
+        if isinstance(event, Boot):
+            self._instances[gateway] = Instance(event)
+            started: api.Event | None = api.Start()
+        else:
+            if gateway not in self._instances:
+                raise WireError(f"unknown instance {gateway!r}")
+            if isinstance(event, Halt):
+                del self._instances[gateway]
+                return []
+            started = self._instances[gateway].to_event(event, self._lists)
+        if started is None:
+            return []
+        try:
+            actions = self._instances[gateway].router.handle(started, now_us)
+        except Exception as error:  # a fault of the rules is told on the wire, never hidden
+            text = f"{type(error).__name__}: {error}"
+            print(f"oatlink: {text}", file=sys.stderr)
+            return [{"event_type": "InternalError", "GatewayId": gateway, "ReasonText": text}]
+        return [to_wire(action, gateway) for action in actions]
+
+    def reply(self, line: bytes) -> bytes:
+        """Answer one batch."""
+        try:
+            batch = self._decoder.decode(line)
+        except msgspec.DecodeError as error:
+            raise WireError(str(error)) from error
+        done = [action for event in batch.events for action in self._one(event, batch.now_us)]
+        return msgspec.json.encode({"do": done})
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    adapter = Adapter()
+    for line in source:
+        if line.strip():
+            sink.write(adapter.reply(line) + b"\n")
+            sink.flush()
+
+
+def main() -> int:
+    """Run the adapter; malformed input ends it with one plain line."""
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except (WireError, ValueError) as error:
+        print(f"oatlink: malformed input: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oatlink/rules.py
@@ -0,0 +1,685 @@
+"""Every decision of the router. Its settings, events and actions are in `oatlink/interface.py`.
+
+`Router.handle(event, now_us)` takes what has happened and returns what to do. It reads no clock and does
+no I/O. One section for each question; `_send` alone starts attempts and asks every guard each time.
+"""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from oatlink import interface as api
+from oatlink.interface import Effect, Freshness, Listing, Outcome, Role, RosterKind
+
+HEARTBEAT_US = 10_000_000  # the design's default, for groups that nobody asks for
+HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
+START_ROOM = 8.0  # attempts out at a member that has shown nothing yet: about two for each core of a small machine
+LEAST_ROOM = 2.0  # a member keeps room to show that it is well again
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a request."""
+
+    member: int
+    sent_us: int
+    out: bool = True
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that this router owes an answer."""
+
+    id: str
+    rule: api.RequestClass
+    group: int
+    arrived_us: int
+    expires_us: int
+    session: str | None
+    need_us: int | None
+    attempts: list[Attempt] = field(default_factory=list)
+    tried: list[int] = field(default_factory=list)
+    may_have_run_us: int | None = None
+    copied: bool = False
+
+
+@dataclass(slots=True)
+class Member:
+    """The record of a member: role, position and time heard, and what it has shown of its strength."""
+
+    entry: api.RosterEntry
+    role: Role = Role.UNKNOWN
+    role_us: int = 0
+    position_us: int = -1
+    heard_us: int = -1
+    drained: bool = False
+    was_terminating: bool = False
+    check_sent_us: int | None = None
+    checked_us: int = -HEARTBEAT_US
+    check_cost_us: float = 5_000.0
+    failed_checks: int = 0
+    out: dict[tuple[str, int], int] = field(default_factory=dict)
+    duration_us: float = 0.0
+    room: float = START_ROOM
+    cut_us: int = 0
+    full_until_us: int = 0
+    started_us: int = 0
+    turn: int = 0
+    rate: float = 0.0
+    rate_us: int = 0
+    sends: deque[tuple[int, float]] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class Group:
+    """The members of one group and the requests held for it."""
+
+    members: dict[int, Member] = field(default_factory=dict)
+    primary: int | None = None
+    held: dict[str, Request] = field(default_factory=dict)
+    asked_us: int = -HEARTBEAT_US
+    bounded_us: int = -HEARTBEAT_US
+    checked_us: int = -HEARTBEAT_US
+
+
+class Router:
+    """Decides for one gateway."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        _validate(settings)
+        self._settings = settings
+        self._random = random.Random(settings.seed)
+        self._classes = {rule.name: rule for rule in settings.classes}
+        worth = sum(rule.worth for rule in settings.classes) or 1.0
+        # Half the aim, weighed by worth: slower answers than this leave no time for a second try.
+        self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 2
+        bounds = [rule.staleness_us for rule in settings.classes if rule.freshness is Freshness.BOUNDED]
+        self._bound_us = min(bounds, default=HEARTBEAT_US)
+        self._tick_us = max(4 * settings.step_us, 20_000)  # sweeps are rarer than batches, finer than any aim
+        self._margin_us = 2 * settings.step_us
+        self._groups: dict[int, Group] = {}
+        self._members: dict[int, Member] = {}
+        self._requests: dict[str, Request] = {}
+        self._sessions: OrderedDict[str, int] = OrderedDict()
+        self._forgotten_us = -1
+        self._turn = 0
+        self._copies = 1.0
+        self._following = False
+        self._asked_us = 0
+        self._ask_at_us: int | None = None
+        self._ask_wait_us = 0
+        self._sweeping = False
+        self._now = 0
+        self._do: list[api.Action] = []
+
+    def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
+        """Take one event and return the actions that it calls for, in order."""
+        self._now, self._do = now_us, []
+        match event:
+            case api.Arrival():
+                self._arrive(event)
+            case api.AttemptEnded():
+                self._ended(event)
+            case api.TimerFired():
+                self._sweep()
+            case api.Checked():
+                self._checked(event)
+            case api.Departure():
+                self._forget(event.request)
+            case api.Roster():
+                self._listed(event)
+            case api.Start():
+                self._ask_roster()
+        self._keep_sweeping()
+        return self._do
+
+    # ---- Roster and drains ----
+
+    def _ask_roster(self) -> None:
+        """Subscribe where discovery must be asked."""
+        if self._settings.must_ask_roster:
+            self._do.append(api.FollowRoster())
+            self._asked_us = self._now
+            self._ask_at_us = self._now + self._settings.ask_within_us // 4
+
+    def _roster_failed(self) -> None:
+        """Threat: a list that cannot be reached leaves drains unknown; ask again, ever more rarely, spread out."""
+        self._following = False
+        longest = self._settings.ask_within_us // 4
+        self._ask_wait_us = min(longest, max(2 * self._ask_wait_us, longest // 8))
+        self._ask_at_us = self._now + round(self._ask_wait_us * self._random.uniform(0.5, 1.0))
+
+    def _ask_again(self) -> None:
+        """Repeat a call that failed or stayed unanswered; a plain fetch goes with every new subscription."""
+        if self._ask_at_us is not None and self._now >= self._ask_at_us and not self._following:
+            self._ask_roster()
+            self._do.append(api.FetchRoster())
+
+    def _listed(self, roster: api.Roster) -> None:
+        """Take in a list: who is there, who drains, who has started."""
+        if roster.kind is RosterKind.FAILED:
+            self._roster_failed()
+            return
+        if roster.kind is not RosterKind.SAVED:
+            self._following, self._ask_wait_us = True, 0
+        for entry in roster.entries:
+            self._enter(entry)
+        if roster.kind is not RosterKind.CHANGES:
+            named = {entry.member for entry in roster.entries}
+            for member in [one for one in self._members.values() if one.entry.member not in named]:
+                self._leave(member)
+
+    def _enter(self, entry: api.RosterEntry) -> None:
+        """Take in one line of a list."""
+        member = self._members.get(entry.member)
+        if entry.listing is Listing.GONE:
+            if member is not None:
+                self._leave(member)
+            return
+        if member is None:
+            member = self._members[entry.member] = Member(entry)
+        member.entry = entry
+        group = self._groups.setdefault(entry.group, Group())
+        group.members[entry.member] = member
+        member.started_us = max(member.started_us, entry.started_us)
+        member.drained = entry.listing is Listing.TERMINATING
+        if member.drained:
+            member.was_terminating = True
+            self._lose(member)
+        elif not self._settings.may_probe and member.role is Role.UNKNOWN:
+            self._take_list_role(member)
+
+    def _leave(self, member: Member) -> None:
+        """A member is gone. Where a dropped one stays open, only one that was seen draining is bound."""
+        if self._settings.dropped_stay_open and not member.was_terminating:
+            return
+        member.drained = True
+        self._lose(member)
+        self._groups[member.entry.group].members.pop(member.entry.member, None)
+        self._members.pop(member.entry.member, None)
+
+    # ---- Member record ----
+
+    def _hear(self, member: Member, report: api.Report | None, fresh: bool) -> None:
+        """Set a member's role, position and time heard from an answer (fresh) or a report (as old as it says).
+
+        A primary's position is the time of its claim. A report whose position lies before the time at which
+        the held role was true is older than that role and must not overturn it.
+        """
+        member.heard_us = self._now
+        if report is None:
+            return
+        true_us = self._now if fresh or report.position_us is None else report.position_us
+        if report.position_us is not None:
+            member.position_us = max(member.position_us, report.position_us)
+        if report.role is Role.PRIMARY:
+            self._claim(member, true_us)
+        elif report.role is Role.REPLICA and (member.role is not Role.PRIMARY or true_us >= member.role_us):
+            self._set_replica(member, true_us)
+
+    def _claim(self, member: Member, true_us: int) -> None:
+        """One primary a group: the later claim stands, an older one is turned unknown and checked at once."""
+        group = self._groups[member.entry.group]
+        if true_us < member.role_us:
+            return
+        held = group.members.get(group.primary) if group.primary is not None else None
+        if held is not None and held is not member:
+            if held.role_us > true_us:
+                return
+            held.role, group.primary = Role.UNKNOWN, None
+            self._check(held)
+        member.role, member.role_us = Role.PRIMARY, true_us
+        if group.primary is None and not member.drained:
+            group.primary = member.entry.member
+            self._log(f"group {member.entry.group}: primary is {member.entry.member}")
+
+    def _set_replica(self, member: Member, true_us: int) -> None:
+        """A member has answered as a replica."""
+        group = self._groups[member.entry.group]
+        if group.primary == member.entry.member:
+            group.primary = None
+        member.role, member.role_us = Role.REPLICA, max(member.role_us, true_us)
+
+    def _lose(self, member: Member) -> None:
+        """Turn a member unknown; reads that still wait on it go elsewhere where a repeat is allowed.
+
+        Threat: a silent or hung member. Its reads would wait for the deadline.
+        """
+        group = self._groups[member.entry.group]
+        if group.primary == member.entry.member:
+            group.primary = None
+            self._log(f"group {member.entry.group}: primary {member.entry.member} lost")
+        member.role, member.role_us = Role.UNKNOWN, max(member.role_us, self._now)
+        for request_id, _ in list(member.out):
+            request = self._requests.get(request_id)
+            if request is not None and request.rule.effect is Effect.IDEMPOTENT and not request.copied:
+                request.copied = True
+                request.tried.append(member.entry.member)
+                group.held[request.id] = request
+
+    def _take_list_role(self, member: Member) -> None:
+        """Where members cannot say their role, the list's word stands until an answer is heard."""
+        if member.entry.primary:
+            self._claim(member, member.role_us)
+        else:
+            member.role = Role.REPLICA
+
+    # ---- Checks ----
+
+    def _check(self, member: Member) -> None:
+        """Ask a member for its report, one check at a time; the cold budget counts it."""
+        if not self._settings.may_probe or member.check_sent_us is not None or member.drained:
+            return
+        weight = min(1.0, member.check_cost_us / max(member.duration_us, 10 * member.check_cost_us))
+        if self._within_budget(member, weight):
+            member.sends.append((self._now, weight))
+            member.check_sent_us = member.checked_us = self._now
+            self._do.append(api.Check(member.entry.member))
+
+    def _checked(self, event: api.Checked) -> None:
+        """A check has ended. A full or capped check says nothing; any other failure marks the member unknown."""
+        member = self._members.get(event.member)
+        if member is None:
+            return
+        member.check_sent_us = None
+        if event.outcome is Outcome.SERVED:
+            if member.failed_checks:
+                self._come_back(member)
+            member.failed_checks = 0
+            member.check_cost_us += 0.2 * (event.duration_us - member.check_cost_us)
+            self._hear(member, event.report, fresh=False)
+            if member.role is Role.UNKNOWN and (event.report is None or event.report.role is Role.UNKNOWN):
+                self._take_list_role(member)
+        elif event.outcome is not Outcome.FULL:
+            member.failed_checks += 1
+            self._lose(member)
+        self._pump(self._groups[member.entry.group])
+
+    def _come_back(self, member: Member) -> None:
+        """Threat: a member that went silent comes back cold, hung work still in it; it starts with little room."""
+        member.room = LEAST_ROOM
+        member.duration_us = 0.0
+
+    def _heartbeats(self, group: Group) -> None:
+        """Check each member when its record has grown old for what the group is asked."""
+        asked = self._now - group.asked_us < HEARTBEAT_US
+        if asked and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
+            self._check_all(group)
+        period = HEARTBEAT_US
+        if asked:
+            # Writes must not go long to a hung primary: a heartbeat in half an aim at most.
+            period = round(self._target_us)
+        for member in group.members.values():
+            if self._now - member.checked_us >= period and (member.role is not Role.UNKNOWN or not asked):
+                self._check(member)
+            elif member.role is Role.UNKNOWN and asked and self._now - member.checked_us >= HOLD_CHECK_US:
+                self._check(member)
+            elif self._grows_stale(group, member):
+                self._check(member)
+
+    def _grows_stale(self, group: Group, member: Member) -> bool:
+        """Bounded reads need a reported position: ask before the known one is too old for the next read."""
+        return (member.role is Role.REPLICA and self._now - group.bounded_us < HOLD_CHECK_US
+                and self._now - member.position_us > self._bound_us // 2
+                and self._now - member.checked_us >= self._bound_us // 4)
+
+    def _check_all(self, group: Group) -> None:
+        """Check every member of a group."""
+        group.checked_us = self._now
+        for member in group.members.values():
+            self._check(member)
+
+    def _in_doubt(self, member: Member) -> bool:
+        """Threat: a hung or unreachable member. A check that is overdue holds new work back until it ends."""
+        return (member.check_sent_us is not None
+                and self._now - member.check_sent_us > max(2 * self._tick_us, 4 * member.check_cost_us))
+
+    # ---- Read and write selection ----
+
+    def _choose(self, request: Request) -> Member | None:
+        """The member that takes a request now, or none."""
+        group = self._groups.get(request.group)
+        if group is None:
+            return None
+        primary = group.members.get(group.primary) if group.primary is not None else None
+        if request.rule.freshness is Freshness.WRITE:
+            return primary if primary is not None and self._has_room(primary, 1.0) else None
+        need = self._need(request)
+        replicas = [one for one in group.members.values() if one.role is Role.REPLICA and not self._in_doubt(one)]
+        fit = [one for one in replicas if one.position_us >= need]
+        if not fit and self._settings.members_check_reads and replicas:
+            fit = [max(replicas, key=lambda one: one.position_us)]
+        best = self._turn_over([one for one in fit if one.entry.member not in request.tried])
+        if best is None and primary is not None and self._has_room(primary, 0.5):
+            best = primary
+        return best or self._turn_over(fit)
+
+    def _need(self, request: Request) -> int:
+        """The position that a read must see."""
+        if request.rule.freshness is Freshness.BOUNDED:
+            return self._now - request.rule.staleness_us
+        return -1 if request.need_us is None else request.need_us
+
+    def _turn_over(self, members: list[Member]) -> Member | None:
+        """Take turns over the members with room, passing over those whose wait is long, the own zone first."""
+        ready = [one for one in members if self._has_room(one, 1.0)]
+        if not ready:
+            return None
+        waits = [self._wait(one) for one in ready]
+        limit = 1.25 * min(waits)
+        near = [one for one, wait in zip(ready, waits) if wait <= limit]
+        return min(near, key=lambda one: one.turn)
+
+    def _wait(self, member: Member) -> float:
+        """What a new attempt may take there, from what its answers took and what is out; other zones cost more."""
+        base = max(member.duration_us, 1_000.0)
+        if member.out:
+            base = max(base, float(self._now - next(iter(member.out.values()))))
+        wait = base * (1 + len(member.out))
+        return wait if member.entry.zone == self._settings.zone else 1.25 * wait
+
+    # ---- Attempt outcomes ----
+
+    def _send(self, request: Request, member: Member) -> bool:
+        """Start an attempt, if every rule allows it."""
+        if not self._may_send(request, member):
+            return False
+        number = len(request.attempts)
+        request.attempts.append(Attempt(member.entry.member, self._now))
+        member.out[(request.id, number)] = self._now
+        member.sends.append((self._now, 1.0))
+        self._turn += 1
+        member.turn = self._turn
+        self._groups[request.group].held.pop(request.id, None)
+        self._do.append(api.Send(request.id, member.entry.member))
+        return True
+
+    def _may_send(self, request: Request, member: Member) -> bool:
+        """The guards of the rules: drain, group, repeats, time, attempts and cold budget."""
+        return (not member.drained and member.entry.group == request.group
+                and self._now < request.expires_us - self._margin_us
+                and len(request.attempts) < self._settings.max_attempts
+                and self._may_repeat(request) and self._within_budget(member, 1.0))
+
+    def _may_repeat(self, request: Request) -> bool:
+        """Whether the class allows one more attempt after the earlier ones."""
+        waiting = [one for one in request.attempts if one.out]
+        if waiting and not self._settings.second_copies:
+            return False
+        if request.rule.effect is Effect.IDEMPOTENT:
+            return True
+        if waiting:
+            return False
+        first = request.may_have_run_us
+        if first is None:
+            return True
+        return (request.rule.effect is Effect.KEYED
+                and self._now + self._margin_us < first + request.rule.repeat_window_us)
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        """An attempt has ended: learn from it, then answer, resend or hold its request."""
+        member = self._members.get(event.member)
+        if member is not None and member.out.pop((event.request, event.attempt), None) is not None:
+            self._learn(member, event)
+        request = self._requests.get(event.request)
+        if request is not None and event.attempt < len(request.attempts):
+            attempt = request.attempts[event.attempt]
+            attempt.out = False
+            if event.over:
+                self._served(request, event)
+            else:
+                if event.outcome.may_have_run and request.may_have_run_us is None:
+                    request.may_have_run_us = attempt.sent_us
+                self._go_on(request, event)
+        if member is not None:
+            self._pump(self._groups[member.entry.group])
+
+    def _learn(self, member: Member, event: api.AttemptEnded) -> None:
+        """The error rules: what an outcome says of its member."""
+        self._hear(member, event.answer, fresh=True) if event.answer else None
+        if event.report is not None:
+            self._hear(member, event.report, fresh=False)
+        self._grow(member, event)
+        if event.outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
+            self._do.append(api.DropIdle(member.entry.member))
+            self._lose(member)
+            member.failed_checks += 1
+            self._check(member)
+        elif event.outcome is Outcome.MISS or event.outcome is Outcome.ERROR:
+            request = self._requests.get(event.request)
+            if request is not None and request.rule.freshness is Freshness.WRITE and (
+                    event.outcome is Outcome.MISS or member.role is not Role.PRIMARY):
+                self._lose(member)
+                self._check(member)
+
+    def _served(self, request: Request, event: api.AttemptEnded) -> None:
+        """The client has its answer: remember a session's write, call off copies."""
+        if (self._settings.router_remembers_sessions and request.session is not None and event.answer is not None
+                and request.rule.freshness is Freshness.WRITE and event.answer.position_us is not None
+                and event.outcome is Outcome.SERVED):
+            self._remember(request.session, event.answer.position_us)
+        for number, attempt in enumerate(request.attempts):
+            if attempt.out and self._settings.may_cancel:
+                self._do.append(api.Cancel(request.id, number))
+        self._forget(request.id)
+
+    def _go_on(self, request: Request, event: api.AttemptEnded) -> None:
+        """An attempt has failed: the next one, or the end."""
+        if event.outcome is Outcome.NOT_SENT or self._now >= request.expires_us - self._margin_us:
+            self._give_up(request)
+            return
+        request.tried.append(event.member)
+        if any(one.out for one in request.attempts):
+            return
+        if len(request.attempts) >= self._settings.max_attempts or not self._may_repeat(request):
+            self._give_up(request)
+            return
+        self._place(request)
+
+    # ---- Deadlines, holds and refusals ----
+
+    def _arrive(self, event: api.Arrival) -> None:
+        """A request has come in: send it, or hold it until its group can take it."""
+        rule = self._classes[event.class_name]
+        group = self._groups.setdefault(event.group, Group())
+        need = None
+        if rule.freshness is Freshness.LATEST:
+            need = self._now
+        elif rule.freshness is Freshness.SESSION:
+            need = self._session_need(event)
+        elif rule.freshness is Freshness.BOUNDED:
+            group.bounded_us = self._now
+        request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
+                          event.session, need)
+        self._requests[request.id] = request
+        fresh = self._now - group.asked_us >= HEARTBEAT_US
+        group.asked_us = self._now
+        if fresh:
+            self._check_all(group)  # the first request of a group asks its members who they are
+        self._copies = min(10.0, self._copies + 0.05)  # one spare copy in twenty requests: no storm of copies
+        self._place(request)
+
+    def _session_need(self, event: api.Arrival) -> int | None:
+        """The last write that a session's read must see, carried by the client or remembered here."""
+        if event.since_write_us is not None:
+            return self._now - event.since_write_us
+        if self._settings.router_remembers_sessions and event.session is not None:
+            return self._sessions.get(event.session, self._forgotten_us)
+        return None
+
+    def _remember(self, session: str, position_us: int) -> None:
+        """Keep a session's last write. Memory is bounded: what is forgotten binds every unknown session."""
+        self._sessions[session] = max(position_us, self._sessions.pop(session, -1))
+        if len(self._sessions) > self._settings.max_open:
+            _, oldest = self._sessions.popitem(last=False)
+            self._forgotten_us = max(self._forgotten_us, oldest)
+
+    def _place(self, request: Request) -> None:
+        """Send a request, or hold it."""
+        member = self._choose(request)
+        if member is None or not self._send(request, member):
+            self._groups[request.group].held[request.id] = request
+
+    def _pump(self, group: Group) -> None:
+        """Send what is held for a group, the most urgent worth first, as far as there is room."""
+        if not group.held or all(len(one.out) >= one.room for one in group.members.values()):
+            return
+        for request in sorted(group.held.values(), key=self._urgency):
+            member = self._choose(request)
+            if member is not None:
+                self._send(request, member)
+
+    def _urgency(self, request: Request) -> tuple[float, int]:
+        """What serving a held request now earns: more first, then the older."""
+        late = self._now > request.arrived_us + request.rule.aim_us
+        worth = request.rule.worth * (request.rule.late_worth if late else 1.0)
+        return (-worth, request.arrived_us)
+
+    def _give_up_at(self, request: Request) -> int:
+        """When holding on stops making sense: at the aim where a late answer is worth nothing, or the deadline."""
+        end = request.expires_us - self._margin_us
+        if request.rule.late_worth <= 0:
+            end = min(end, request.arrived_us + request.rule.aim_us - self._margin_us)
+        if request.may_have_run_us is not None and request.rule.effect is Effect.KEYED:
+            end = min(end, request.may_have_run_us + request.rule.repeat_window_us - self._margin_us)
+        return end
+
+    def _give_up(self, request: Request) -> None:
+        """The final answer, at once: a refusal where trying again is harmless, else a failure."""
+        harmless = request.rule.effect is Effect.IDEMPOTENT or (
+            request.may_have_run_us is None and not any(one.out for one in request.attempts))
+        if harmless and self._now < request.expires_us - self._margin_us:
+            wait = round(self._settings.max_retry_after_us * self._random.uniform(0.25, 1.0))
+            self._do.append(api.Refuse(request.id, wait))
+        else:
+            self._do.append(api.Fail(request.id))
+        self._forget(request.id)
+
+    def _forget(self, request_id: str) -> None:
+        """A request has ended."""
+        request = self._requests.pop(request_id, None)
+        if request is not None:
+            self._groups[request.group].held.pop(request_id, None)
+
+    def _sweep(self) -> None:
+        """The regular look at everything that waits."""
+        self._sweeping = False
+        self._ask_again()
+        for group in self._groups.values():
+            self._heartbeats(group)
+            for request in [one for one in group.held.values() if self._now >= self._give_up_at(one)]:
+                if any(one.out for one in request.attempts):
+                    group.held.pop(request.id)
+                else:
+                    self._give_up(request)
+            self._copy_slow_reads(group)
+            self._pump(group)
+
+    def _keep_sweeping(self) -> None:
+        """One timer at a time."""
+        if not self._sweeping:
+            self._sweeping = True
+            self._do.append(api.SetTimer("sweep", self._now + self._tick_us))
+
+    def _log(self, text: str) -> None:
+        """A line for the people on call."""
+        self._do.append(api.Log(text))
+
+    # ---- Cold budget ----
+
+    def _warmth(self, member: Member) -> float:
+        """The share of its full strength that a member surely has by now."""
+        age, whole = self._now - member.started_us, self._settings.warm_after_us
+        if member.started_us <= 0 or age >= whole:
+            return 1.0
+        return self._settings.cold_share + (1.0 - self._settings.cold_share) * max(0, age) / whole
+
+    def _within_budget(self, member: Member, weight: float) -> bool:
+        """Threat: a cold member pushed over. All that goes there in a window stays within this router's share.
+
+        The full strength is what this router alone has had from warm members of the kind, so that the shares
+        of all routers add up to no more than one member can do; half of it is left for chance.
+        """
+        while member.sends and member.sends[0][0] <= self._now - self._settings.fall_us:
+            member.sends.popleft()
+        warmth = self._warmth(member)
+        if warmth >= 1.0:
+            return True
+        rates = [self._rate(one) for one in self._members.values()
+                 if one.entry.kind == member.entry.kind and one is not member and self._warmth(one) >= 1.0]
+        shown = sum(rates) / len(rates) if rates else 0.0
+        allowed = max(2.0, 0.5 * self._settings.overload_factor * warmth * shown * self._settings.fall_us / 1e6)
+        return sum(cost for _, cost in member.sends) + weight <= allowed
+
+    def _rate(self, member: Member) -> float:
+        """Answers a second from a member, averaged over about a heartbeat."""
+        return member.rate * max(0.0, 1.0 - (self._now - member.rate_us) / HEARTBEAT_US)
+
+    # ---- Overload ----
+
+    def _has_room(self, member: Member, share: float) -> bool:
+        """Whether a member may have one more attempt out, within a share of what it has shown it can hold."""
+        room = max(LEAST_ROOM, member.room * share * self._warmth(member))
+        return (not member.drained and not self._in_doubt(member) and self._now >= member.full_until_us
+                and len(member.out) + 1 <= room)
+
+    def _grow(self, member: Member, event: api.AttemptEnded) -> None:
+        """Room follows what a member shows: more while answers come in good time, less when slow or full."""
+        if event.outcome is Outcome.SERVED:
+            member.rate = self._rate(member) + 1e6 / HEARTBEAT_US
+            member.rate_us = self._now
+            member.duration_us += 0.1 * (event.duration_us - member.duration_us) if member.duration_us else (
+                event.duration_us)
+            if member.duration_us > self._target_us:
+                self._cut(member)
+            elif len(member.out) + 1 >= member.room / 2:
+                member.room += 1.0 / member.room
+        elif event.outcome is Outcome.FULL:
+            member.full_until_us = self._now + round(self._random.uniform(0.5, 1.5) * 4 * self._tick_us)
+            self._cut(member)
+        elif event.outcome is Outcome.LATE:
+            self._cut(member)
+
+    def _cut(self, member: Member) -> None:
+        """Less room, once for each round of answers."""
+        if self._now - member.cut_us >= member.duration_us:
+            member.room, member.cut_us = max(LEAST_ROOM, 0.8 * member.room), self._now
+
+    def _copy_slow_reads(self, group: Group) -> None:
+        """Threat: a slow or hung replica. A read that waits far past the usual gets one spare copy elsewhere."""
+        if not self._settings.second_copies:
+            return
+        usual = [one.duration_us for one in group.members.values() if one.duration_us > 0]
+        late_us = max(3 * sum(usual) / len(usual), 2.0 * self._tick_us) if usual else self._target_us
+        for member in group.members.values():
+            for request_id, sent in list(member.out.items()):
+                if self._now - sent < late_us or self._copies < 1:
+                    break
+                request = self._requests.get(request_id)
+                if request is None or request.copied or request.rule.effect is not Effect.IDEMPOTENT:
+                    continue
+                request.copied = True
+                request.tried.append(member.entry.member)
+                other = self._choose(request)
+                if other is not None and other is not member and self._send(request, other):
+                    self._copies -= 1
+
+
+def _validate(settings: api.Settings) -> None:
+    """Raise `ValueError` naming the first setting that makes no sense."""
+    positive: Iterable[str] = ("peers", "step_us", "max_attempts", "max_open", "ask_within_us", "fall_us",
+                               "overload_factor", "dial_timeout_us")
+    for name in positive:
+        if getattr(settings, name) <= 0:
+            raise ValueError(f"{name} must be above 0")
+    for name in ("warm_after_us", "max_retry_after_us"):
+        if getattr(settings, name) < 0:
+            raise ValueError(f"{name} must not be below 0")
+    if not 0 < settings.cold_share <= 1:
+        raise ValueError("cold_share must be above 0 and at most 1")
+    if not settings.classes:
+        raise ValueError("classes must name at least one class")
+    for rule in settings.classes:
+        if rule.aim_us <= 0 or rule.deadline_us <= 0:
+            raise ValueError(f"classes: {rule.name} must have an aim and a deadline above 0")
