--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -348,9 +348,12 @@
         need = self._need(request)
         replicas = [one for one in group.members.values() if one.role is Role.REPLICA and not self._in_doubt(one)]
         fit = [one for one in replicas if one.position_us >= need]
+        untried = [one for one in fit if one.entry.member not in request.tried]
         if not fit and self._settings.members_check_reads and replicas:
-            fit = [max(replicas, key=lambda one: one.position_us)]
-        best = self._turn_over([one for one in fit if one.entry.member not in request.tried])
+            # Threat: all replicas behind. One try at the most advanced; after its miss the read moves on or waits.
+            ahead = max(replicas, key=lambda one: one.position_us)
+            untried = [] if ahead.entry.member in request.tried else [ahead]
+        best = self._turn_over(untried)
         if best is None and primary is not None and self._has_room(primary, 0.5):
             best = primary
         return best or self._turn_over(fit)
