--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -14,7 +14,7 @@
 
 HEARTBEAT_US = 10_000_000  # the design's default, for groups that nobody asks for
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
-START_ROOM = 8.0  # attempts out at a member that has shown nothing yet: about two for each core of a small machine
+START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 LEAST_ROOM = 2.0  # a member keeps room to show that it is well again
 
 
@@ -61,7 +61,7 @@
     failed_checks: int = 0
     out: dict[tuple[str, int], int] = field(default_factory=dict)
     duration_us: float = 0.0
-    room: float = START_ROOM
+    room: float = LEAST_ROOM
     cut_us: int = 0
     full_until_us: int = 0
     started_us: int = 0
@@ -92,8 +92,8 @@
         self._random = random.Random(settings.seed)
         self._classes = {rule.name: rule for rule in settings.classes}
         worth = sum(rule.worth for rule in settings.classes) or 1.0
-        # Half the aim, weighed by worth: slower answers than this leave no time for a second try.
-        self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 2
+        # A third of the aim, weighed by worth: slower answers leave no time to hold a request or try again.
+        self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 3
         bounds = [rule.staleness_us for rule in settings.classes if rule.freshness is Freshness.BOUNDED]
         self._bound_us = min(bounds, default=HEARTBEAT_US)
         self._tick_us = max(4 * settings.step_us, 20_000)  # sweeps are rarer than batches, finer than any aim
@@ -179,6 +179,7 @@
             return
         if member is None:
             member = self._members[entry.member] = Member(entry)
+            member.room = max(LEAST_ROOM, START_ROOM / self._settings.peers)
         member.entry = entry
         group = self._groups.setdefault(entry.group, Group())
         group.members[entry.member] = member
@@ -543,7 +544,8 @@
         """When holding on stops making sense: at the aim where a late answer is worth nothing, or the deadline."""
         end = request.expires_us - self._margin_us
         if request.rule.late_worth <= 0:
-            end = min(end, request.arrived_us + request.rule.aim_us - self._margin_us)
+            usual = self._usual_us(self._groups[request.group])
+            end = min(end, request.arrived_us + request.rule.aim_us - round(min(usual, request.rule.aim_us / 2)))
         if request.may_have_run_us is not None and request.rule.effect is Effect.KEYED:
             end = min(end, request.may_have_run_us + request.rule.repeat_window_us - self._margin_us)
         return end
@@ -649,12 +651,16 @@
         if self._now - member.cut_us >= member.duration_us:
             member.room, member.cut_us = max(LEAST_ROOM, 0.8 * member.room), self._now
 
+    def _usual_us(self, group: Group) -> float:
+        """What an answer of the group takes by what its members have shown."""
+        shown = [one.duration_us for one in group.members.values() if one.duration_us > 0]
+        return sum(shown) / len(shown) if shown else self._target_us
+
     def _copy_slow_reads(self, group: Group) -> None:
         """Threat: a slow or hung replica. A read that waits far past the usual gets one spare copy elsewhere."""
         if not self._settings.second_copies:
             return
-        usual = [one.duration_us for one in group.members.values() if one.duration_us > 0]
-        late_us = max(3 * sum(usual) / len(usual), 2.0 * self._tick_us) if usual else self._target_us
+        late_us = max(3 * self._usual_us(group), 2.0 * self._tick_us)
         for member in group.members.values():
             for request_id, sent in list(member.out.items()):
                 if self._now - sent < late_us or self._copies < 1:
