--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -15,6 +15,7 @@
 HEARTBEAT_US = 10_000_000  # the design's default, for groups that nobody asks for
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
+CHECKS_A_READ = 0.5  # bounded reads pay for the checks that keep positions fresh: never more checks than work
 LEAST_ROOM = 2.0  # a member keeps room to show that it is well again
 
 
@@ -79,7 +80,7 @@
     primary: int | None = None
     held: dict[str, Request] = field(default_factory=dict)
     asked_us: int = -HEARTBEAT_US
-    bounded_us: int = -HEARTBEAT_US
+    credit: float = 0.0
     checked_us: int = -HEARTBEAT_US
 
 
@@ -307,22 +308,32 @@
         asked = self._now - group.asked_us < HEARTBEAT_US
         if asked and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
             self._check_all(group)
-        period = HEARTBEAT_US
-        if asked:
-            # Writes must not go long to a hung primary: a heartbeat in half an aim at most.
-            period = round(self._target_us)
         for member in group.members.values():
-            if self._now - member.checked_us >= period and (member.role is not Role.UNKNOWN or not asked):
-                self._check(member)
-            elif member.role is Role.UNKNOWN and asked and self._now - member.checked_us >= HOLD_CHECK_US:
+            since = self._now - member.checked_us
+            if not asked:
+                due = since >= HEARTBEAT_US
+            elif member.role is Role.UNKNOWN:
+                due = since >= HOLD_CHECK_US
+            elif member.role is Role.PRIMARY:
+                due = since >= self._target_us  # a hung primary must not take writes for longer than this
+            else:
+                due = since >= HEARTBEAT_US or self._is_silent(group, member)
+            if due:
                 self._check(member)
-            elif self._grows_stale(group, member):
+            elif group.credit >= 1 and self._grows_stale(member):
+                group.credit -= 1
                 self._check(member)
 
-    def _grows_stale(self, group: Group, member: Member) -> bool:
+    def _is_silent(self, group: Group, member: Member) -> bool:
+        """Threat: a member that takes work and answers nothing. Overdue work with no word since calls for a check."""
+        if not member.out:
+            return False
+        waiting = self._now - max(member.heard_us, next(iter(member.out.values())))
+        return waiting > 2 * self._usual_us(group) and self._now - member.checked_us >= self._target_us
+
+    def _grows_stale(self, member: Member) -> bool:
         """Bounded reads need a reported position: ask before the known one is too old for the next read."""
-        return (member.role is Role.REPLICA and self._now - group.bounded_us < HOLD_CHECK_US
-                and self._now - member.position_us > self._bound_us // 2
+        return (member.role is Role.REPLICA and self._now - member.position_us > self._bound_us // 2
                 and self._now - member.checked_us >= self._bound_us // 4)
 
     def _check_all(self, group: Group) -> None:
@@ -493,7 +504,7 @@
         elif rule.freshness is Freshness.SESSION:
             need = self._session_need(event)
         elif rule.freshness is Freshness.BOUNDED:
-            group.bounded_us = self._now
+            group.credit = min(group.credit + CHECKS_A_READ, float(len(group.members)))
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
                           event.session, need)
         self._requests[request.id] = request
