--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -220,7 +220,7 @@
         elif report.role is Role.REPLICA and (member.role is not Role.PRIMARY or true_us >= member.role_us):
             self._set_replica(member, true_us)
         if member.role is Role.REPLICA and member.out and self._now - member.position_us > self._bound_us:
-            self._cut(member)  # Threat: a crowded replica has no time to apply the log; fewer reads let it catch up
+            self._cut(member)  # Threat: a crowded replica has no time to apply the log; fewer reads help
 
     def _claim(self, member: Member, true_us: int) -> None:
         """One primary a group: the later claim stands, an older one is turned unknown and checked at once."""
@@ -369,7 +369,10 @@
             ahead = max(replicas, key=lambda one: one.position_us)
             untried = [] if ahead.entry.member in request.tried else [ahead]
         best = self._turn_over(untried)
-        if best is None and primary is not None and self._has_room(primary, 0.5):
+        # Threat: reads crowd out what only the primary takes. Those with a choice get half of its room,
+        # current reads, which have none, three quarters, writes all.
+        share = 0.75 if request.rule.freshness is Freshness.LATEST else 0.5
+        if best is None and primary is not None and self._has_room(primary, share):
             best = primary
         return best or self._turn_over(fit)
 
@@ -679,7 +682,7 @@
             return
         late_us = max(3 * self._usual_us(group), 2.0 * self._tick_us)
         for member in group.members.values():
-            for request_id, sent in list(member.out.items()):
+            for (request_id, _), sent in list(member.out.items()):
                 if self._now - sent < late_us or self._copies < 1:
                     break
                 request = self._requests.get(request_id)
