--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -105,7 +105,6 @@
         self._sessions: OrderedDict[str, int] = OrderedDict()
         self._forgotten_us = -1
         self._turn = 0
-        self._copies = 1.0
         self._following = False
         self._asked_us = 0
         self._ask_at_us: int | None = None
@@ -518,7 +517,6 @@
         group.asked_us = self._now
         if fresh:
             self._check_all(group)  # the first request of a group asks its members who they are
-        self._copies = min(10.0, self._copies + 0.05)  # one spare copy in twenty requests: no storm of copies
         self._place(request)
 
     def _session_need(self, event: api.Arrival) -> int | None:
@@ -597,7 +595,6 @@
                     group.held.pop(request.id)
                 else:
                     self._give_up(request)
-            self._copy_slow_reads(group)
             self._pump(group)
 
     def _keep_sweeping(self) -> None:
@@ -676,24 +673,6 @@
         shown = [one.duration_us for one in group.members.values() if one.duration_us > 0]
         return sum(shown) / len(shown) if shown else self._target_us
 
-    def _copy_slow_reads(self, group: Group) -> None:
-        """Threat: a slow or hung replica. A read far past the usual gets one spare copy elsewhere."""
-        if not self._settings.second_copies:
-            return
-        late_us = max(3 * self._usual_us(group), 2.0 * self._tick_us)
-        for member in group.members.values():
-            for (request_id, _), sent in list(member.out.items()):
-                if self._now - sent < late_us or self._copies < 1:
-                    break
-                request = self._requests.get(request_id)
-                if request is None or request.copied or request.rule.effect is not Effect.IDEMPOTENT:
-                    continue
-                request.copied = True
-                request.tried.append(member.entry.member)
-                other = self._choose(request)
-                if other is not None and other is not member and self._send(request, other):
-                    self._copies -= 1
-
 
 def _validate(settings: api.Settings) -> None:
     """Raise `ValueError` naming the first setting that makes no sense."""
