--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -16,7 +16,7 @@
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 CHECKS_A_READ = 0.5  # bounded reads pay for the checks that keep positions fresh: never more checks than work
-LEAST_ROOM = 2.0  # a member keeps room to show that it is well again
+LEAST_ROOM = 1.0  # one attempt out shows whether a member is well again; many routers add up
 
 
 @dataclass(slots=True)
