--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -16,7 +16,7 @@
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 CHECKS_A_READ = 0.5  # bounded reads pay for the checks that keep positions fresh: never more checks than work
-LEAST_ROOM = 1.0  # one attempt out shows whether a member is well again; many routers add up
+LEAST_ROOM = 0.25  # less than one attempt out means a pause after each: many routers add up
 
 
 @dataclass(slots=True)
@@ -542,7 +542,7 @@
 
     def _pump(self, group: Group) -> None:
         """Send what is held for a group, the most urgent worth first, as far as there is room."""
-        if not group.held or all(len(one.out) >= one.room for one in group.members.values()):
+        if not group.held or all(len(one.out) >= max(1.0, one.room) for one in group.members.values()):
             return
         for request in sorted(group.held.values(), key=self._urgency):
             member = self._choose(request)
@@ -642,7 +642,7 @@
 
     def _has_room(self, member: Member, share: float) -> bool:
         """Whether a member may have one more attempt out, within a share of what it has shown it can hold."""
-        room = max(LEAST_ROOM, member.room * share * self._warmth(member))
+        room = max(1.0, member.room * share * self._warmth(member))
         return (not member.drained and not self._in_doubt(member) and self._now >= member.full_until_us
                 and len(member.out) + 1 <= room)
 
@@ -656,7 +656,11 @@
             if member.duration_us > self._target_us:
                 self._cut(member)
             elif len(member.out) + 1 >= member.room / 2:
-                member.room += 1.0 / member.room
+                member.room += min(0.25 * member.room, 1.0 / member.room)
+            if member.room < 1.0:
+                # Threat: one attempt of each of many routers is already too much. Room below one is a pause.
+                pause = event.duration_us * (1.0 / member.room - 1.0) * self._random.uniform(0.5, 1.5)
+                member.full_until_us = self._now + round(min(pause, self._target_us))
         elif event.outcome is Outcome.FULL:
             member.full_until_us = self._now + round(self._random.uniform(0.5, 1.5) * 4 * self._tick_us)
             self._cut(member)
