--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -16,7 +16,7 @@
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 CHECKS_A_READ = 0.5  # bounded reads pay for the checks that keep positions fresh: never more checks than work
-LEAST_ROOM = 0.25  # less than one attempt out means a pause after each: many routers add up
+LEAST_ROOM = 4.0  # the same floor: about an attempt a core, for a look at whether it is well again
 
 
 @dataclass(slots=True)
@@ -62,7 +62,7 @@
     failed_checks: int = 0
     out: dict[tuple[str, int], int] = field(default_factory=dict)
     duration_us: float = 0.0
-    room: float = LEAST_ROOM
+    room: float = 1.0
     cut_us: int = 0
     full_until_us: int = 0
     started_us: int = 0
@@ -99,6 +99,7 @@
         self._bound_us = min(bounds, default=HEARTBEAT_US)
         self._tick_us = max(4 * settings.step_us, 20_000)  # sweeps are rarer than batches, finer than any aim
         self._margin_us = 2 * settings.step_us
+        self._least_room = min(1.0, LEAST_ROOM / settings.peers)  # below one: a pause after each answer
         self._groups: dict[int, Group] = {}
         self._members: dict[int, Member] = {}
         self._requests: dict[str, Request] = {}
@@ -179,7 +180,7 @@
             return
         if member is None:
             member = self._members[entry.member] = Member(entry)
-            member.room = max(LEAST_ROOM, START_ROOM / self._settings.peers)
+            member.room = max(self._least_room, START_ROOM / self._settings.peers)
         member.entry = entry
         group = self._groups.setdefault(entry.group, Group())
         group.members[entry.member] = member
@@ -301,7 +302,7 @@
 
     def _come_back(self, member: Member) -> None:
         """Threat: a member comes back cold, hung work still in it; it starts with little room."""
-        member.room = LEAST_ROOM
+        member.room = self._least_room
         member.duration_us = 0.0
 
     def _heartbeats(self, group: Group) -> None:
@@ -670,7 +671,7 @@
     def _cut(self, member: Member) -> None:
         """Less room, once for each round of answers."""
         if self._now - member.cut_us >= member.duration_us:
-            member.room, member.cut_us = max(LEAST_ROOM, 0.8 * member.room), self._now
+            member.room, member.cut_us = max(self._least_room, 0.8 * member.room), self._now
 
     def _usual_us(self, group: Group) -> float:
         """What an answer of the group takes by what its members have shown."""
