--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -56,6 +56,7 @@
     heard_us: int = -1
     drained: bool = False
     was_terminating: bool = False
+    answered_us: int = -1
     check_sent_us: int | None = None
     checked_us: int = -HEARTBEAT_US
     check_cost_us: float = 5_000.0
@@ -286,7 +287,7 @@
         member = self._members.get(event.member)
         if member is None:
             return
-        member.check_sent_us = None
+        sent_us, member.check_sent_us = member.check_sent_us or 0, None
         if event.outcome is Outcome.SERVED:
             if member.failed_checks:
                 self._come_back(member)
@@ -295,9 +296,15 @@
             self._hear(member, event.report, fresh=False)
             if member.role is Role.UNKNOWN and (event.report is None or event.report.role is Role.UNKNOWN):
                 self._take_list_role(member)
-        elif event.outcome is not Outcome.FULL:
+        elif event.outcome is not Outcome.FULL and member.answered_us < sent_us:
+            # Threat: checks that fail though the member works. An answer since the check went out says more.
             member.failed_checks += 1
             self._lose(member)
+            group = self._groups[member.entry.group]
+            if all(one.heard_us < 0 and one.failed_checks for one in group.members.values()):
+                # Threat: no check is ever answered. With nothing heard at all the list's roles are tried.
+                for one in group.members.values():
+                    self._take_list_role(one)
         self._pump(self._groups[member.entry.group])
 
     def _come_back(self, member: Member) -> None:
@@ -346,7 +353,7 @@
 
     def _in_doubt(self, member: Member) -> bool:
         """Threat: a hung or unreachable member. A check that is overdue holds new work back until it ends."""
-        return (member.check_sent_us is not None
+        return (member.check_sent_us is not None and member.answered_us < member.check_sent_us
                 and self._now - member.check_sent_us > max(2 * self._tick_us, 4 * member.check_cost_us))
 
     # ---- Read and write selection ----
@@ -394,7 +401,7 @@
 
     def _wait(self, member: Member) -> float:
         """What a new attempt may take there, by its answers and what is out; other zones cost more."""
-        base = max(member.duration_us, 1_000.0)
+        base = member.duration_us or self._usual_us(self._groups[member.entry.group])
         if member.out:
             base = max(base, float(self._now - next(iter(member.out.values()))))
         wait = base * (1 + len(member.out))
@@ -458,7 +465,9 @@
 
     def _learn(self, member: Member, event: api.AttemptEnded) -> None:
         """The error rules: what an outcome says of its member."""
-        self._hear(member, event.answer, fresh=True) if event.answer else None
+        if event.answer is not None:
+            member.answered_us = self._now
+            self._hear(member, event.answer, fresh=True)
         if event.report is not None:
             self._hear(member, event.report, fresh=False)
         self._grow(member, event)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -309,6 +309,56 @@
     assert not driver.router._requests
 
 
+def test_answers_outweigh_failed_checks(driver: Driver) -> None:
+    """Checks that fail while the member works must not stop its writes."""
+    send = one(driver.arrive("submit"))
+    assert api.Check(1) in driver.wait(700_000)
+    driver.now += 100_000
+    driver.ended(send, Outcome.SERVED, answer=api.Report(None, Role.PRIMARY))
+    assert one(driver.arrive("submit")).member == 1
+    driver.check_failed(1)
+    assert one(driver.arrive("submit")).member == 1
+
+
+def test_list_roles_are_tried_when_no_check_is_ever_answered() -> None:
+    driver = Driver()
+    driver.roster(member(1, primary=True), member(2))
+    driver.arrive("submit", expires=5_000_000)
+    driver.check_failed(1)
+    assert one(driver.check_failed(2)).member == 1
+
+
+def test_room_shrinks_when_a_report_is_past_the_bound(driver: Driver) -> None:
+    """Found on a recorded day: crowded replicas had no time to apply the log."""
+    driver.now += 1_000_000
+    before = driver.router._members[2].room
+    driver.arrive("any")
+    driver.arrive("any")
+    driver.checked(2, Role.REPLICA, age=900_000)
+    assert driver.router._members[2].room < before
+
+
+def test_reads_leave_room_for_what_only_the_primary_takes() -> None:
+    """Found on a recorded day: bounded reads kept current reads and writes from the primary."""
+    driver = Driver().ready()
+    driver.now += 10_000_000
+    driver.checked(1, Role.PRIMARY)
+    views = sum(len(sends(driver.arrive("view"))) for _ in range(30))
+    checks = sum(len(sends(driver.arrive("check"))) for _ in range(30))
+    posts = sum(len(sends(driver.arrive("post"))) for _ in range(30))
+    assert views and checks and posts
+
+
+def test_room_below_one_is_a_pause() -> None:
+    """Found on a recorded day: many routers with one attempt each were too much for one member."""
+    driver = Driver(peers=64).ready()
+    slow = one(driver.arrive("submit"))
+    driver.now += 300_000
+    driver.ended(slow, Outcome.SERVED, duration=300_000, answer=api.Report(None, Role.PRIMARY))
+    assert not sends(driver.arrive("submit"))
+    assert sends(driver.wait(600_000))
+
+
 # ---- The module itself ----
 
 
