--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -220,10 +220,8 @@
             self._claim(member, true_us)
         elif report.role is Role.REPLICA and (member.role is not Role.PRIMARY or true_us >= member.role_us):
             self._set_replica(member, true_us)
-        # Threat: a crowded replica has no time to apply the log; fewer reads help, down to an idle core or so.
-        crowded = member.out and member.room > START_ROOM / 2 / self._settings.peers
-        if member.role is Role.REPLICA and crowded and self._now - member.position_us > self._bound_us:
-            self._cut(member)
+        if member.role is Role.REPLICA and member.out and self._now - member.position_us > self._bound_us:
+            self._cut(member)  # Threat: a crowded replica has no time to apply the log; fewer reads help
 
     def _claim(self, member: Member, true_us: int) -> None:
         """One primary a group: the later claim stands, an older one is turned unknown and checked at once."""
