--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -39,6 +39,7 @@
     expires_us: int
     session: str | None
     need_us: int | None
+    worth: float
     attempts: list[Attempt] = field(default_factory=list)
     tried: list[int] = field(default_factory=list)
     may_have_run_us: int | None = None
@@ -106,6 +107,9 @@
         self._requests: dict[str, Request] = {}
         self._sessions: OrderedDict[str, int] = OrderedDict()
         self._forgotten_us = -1
+        # Each tenant's share at this router, a second's worth of requests in hand: (rate, left, when).
+        self._shares = {name: (rate / settings.peers, rate / settings.peers, 0)
+                        for name, rate in settings.tenant_rates}
         self._turn = 0
         self._following = False
         self._asked_us = 0
@@ -521,13 +525,27 @@
         elif rule.freshness is Freshness.BOUNDED:
             group.credit = min(group.credit + CHECKS_A_READ, float(len(group.members)))
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
-                          event.session, need)
+                          event.session, need, rule.worth * self._share_worth(event.tenant))
         self._requests[request.id] = request
         fresh = self._now - group.asked_us >= HEARTBEAT_US
         group.asked_us = self._now
         if fresh:
             self._check_all(group)  # the first request of a group asks its members who they are
-        self._place(request)
+        if group.held and request.worth < rule.worth:
+            # Threat: a tenant's flood. Past its share it does not pass what waits.
+            group.held[request.id] = request
+        else:
+            self._place(request)
+
+    def _share_worth(self, tenant: str | None) -> float:
+        """What a tenant's next request counts: all within its share, little past it."""
+        if tenant is None or tenant not in self._shares:
+            return 1.0
+        rate, left, since = self._shares[tenant]
+        left = min(rate, left + rate * (self._now - since) / 1e6)
+        within = left >= 1.0
+        self._shares[tenant] = (rate, left - 1.0 if within else left, self._now)
+        return 1.0 if within else self._settings.over_share_worth
 
     def _session_need(self, event: api.Arrival) -> int | None:
         """The last write that a session's read must see, carried by the client or remembered here."""
@@ -562,7 +580,7 @@
     def _urgency(self, request: Request) -> tuple[float, int]:
         """What serving a held request now earns: more first, then the older."""
         late = self._now > request.arrived_us + request.rule.aim_us
-        worth = request.rule.worth * (request.rule.late_worth if late else 1.0)
+        worth = request.worth * (request.rule.late_worth if late else 1.0)
         return (-worth, request.arrived_us)
 
     def _give_up_at(self, request: Request) -> int:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -359,6 +359,16 @@
     assert sends(driver.wait(600_000))
 
 
+def test_a_tenant_past_its_share_does_not_pass_what_waits() -> None:
+    """Found on a recorded day: one tenant's flood took the room of the others."""
+    driver = Driver(tenant_rates=(("big", 4.0), ("small", 40.0)), over_share_worth=0.2).ready()
+    out = [send for _ in range(30) for send in sends(driver.arrive("submit", tenant="big"))]
+    waiting = driver.count
+    driver.arrive("submit", tenant="small")
+    done = driver.ended(out[0], Outcome.SERVED, answer=api.Report(None, Role.PRIMARY))
+    assert one(done).request == f"r{waiting + 1}"
+
+
 # ---- The module itself ----
 
 
