--- a/oatlink/adapter.py
+++ b/oatlink/adapter.py
@@ -70,7 +70,6 @@
     freshness: list[str]
     lag_allowed_us: list[int] = field(default_factory=list)
     base_time_us: int = 0
-    answers_stamped: bool = False
     server_checks: str = "off"
     session_marks: str = "client"
 
@@ -83,7 +82,6 @@
     second_copies: bool = False
     retry_after: bool = False
     max_retry_after_us: int = 0
-    dial_timeout_us: int = 250_000
 
 
 class Obligations(Wire):
@@ -120,7 +118,6 @@
     sku: str = ""
     health: str = "Ready"
     is_primary: float = 0
-    power_hint: float = 1.0
     came_up_us: int = 0
 
 
@@ -150,7 +147,6 @@
     qos: str
     shard: int
     expires_in_us: int
-    bitmap: int = 0
     owner: str | int = 0
     user: str | None = None
     last_write_ms: float | None = None
@@ -250,9 +246,7 @@
         max_retry_after_us=limits.max_retry_after_us if limits.retry_after else 0,
         must_ask_roster=options.discovery == "ask",
         ask_within_us=rules.ask_within_us,
-        dial_timeout_us=limits.dial_timeout_us,
         members_check_reads=family.server_checks != "off",
-        answers_stamped=family.answers_stamped,
         router_remembers_sessions=family.session_marks == "router",
         cold_share=rules.cold_share,
         warm_after_us=rules.warm_after_us,
@@ -300,7 +294,6 @@
                     session=event.user,
                     tenant=event.owner if isinstance(event.owner, str) else None,
                     since_write_us=math.floor(event.last_write_ms * 1000) if event.last_write_ms else None,
-                    repeated=bool(event.bitmap & 2),
                 )
             case AttemptEnd():
                 return api.AttemptEnded(
@@ -398,7 +391,6 @@
                     kind=line.sku,
                     listing=word(LISTINGS, line.health, "health"),
                     primary=line.is_primary >= 0.5,
-                    size=line.power_hint,
                     started_us=line.came_up_us,
                 )
                 for line in event.lines
--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -103,9 +103,7 @@
     max_retry_after_us: int = 1_000_000
     must_ask_roster: bool = False
     ask_within_us: int = 10_000_000
-    dial_timeout_us: int = 250_000
     members_check_reads: bool = False
-    answers_stamped: bool = False
     router_remembers_sessions: bool = False
     cold_share: float = 1.0
     warm_after_us: int = 0
@@ -129,7 +127,6 @@
     kind: str
     listing: Listing = Listing.READY
     primary: bool = False
-    size: float = 1.0
     started_us: int = 0
 
 
@@ -160,7 +157,6 @@
     session: str | None = None
     since_write_us: int | None = None
     tenant: str | None = None
-    repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -108,7 +108,7 @@
         self._sessions: OrderedDict[str, int] = OrderedDict()
         self._forgotten_us = -1
         # Each tenant's share at this router, a second's worth of requests in hand: (rate, left, when).
-        self._shares = {name: (rate / settings.peers, rate / settings.peers, 0)
+        self._shares = {name: (max(1.0, rate / settings.peers), 0.0, 0)
                         for name, rate in settings.tenant_rates}
         self._turn = 0
         self._following = False
@@ -709,7 +709,7 @@
 def _validate(settings: api.Settings) -> None:
     """Raise `ValueError` naming the first setting that makes no sense."""
     positive: Iterable[str] = ("peers", "step_us", "max_attempts", "max_open", "ask_within_us", "fall_us",
-                               "overload_factor", "dial_timeout_us")
+                               "overload_factor")
     for name in positive:
         if getattr(settings, name) <= 0:
             raise ValueError(f"{name} must be above 0")
