--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -369,6 +369,22 @@
     assert one(done).request == f"r{waiting + 1}"
 
 
+def test_the_one_place_that_sends_asks_every_guard(driver: Driver) -> None:
+    """The guards hold by themselves, whatever has chosen the member."""
+    router = driver.router
+    send = one(driver.arrive("any"))
+    request, target = router._requests[send.request], router._members[2]
+    assert router._may_send(request, target)
+    target.drained = True
+    assert not router._may_send(request, target)
+    target.drained = False
+    request.group = 2
+    assert not router._may_send(request, target)
+    request.group = 1
+    request.expires_us = driver.now
+    assert not router._may_send(request, target)
+
+
 # ---- The module itself ----
 
 
