--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -409,7 +409,7 @@
         if member.out:
             base = max(base, float(self._now - next(iter(member.out.values()))))
         wait = base * (1 + len(member.out))
-        return wait if member.entry.zone == self._settings.zone else 1.5 * wait
+        return wait if member.entry.zone == self._settings.zone else 1.25 * wait
 
     # ---- Attempt outcomes ----
 
