Decisions for hundreds of routers: checks on demand, one timer, cold tokens, an admitted share

Cause: every router checked, swept and sent as if it were one of three. Change: a group is looked at when something in it is due (a heap, one timer); members are checked when a waiting decision needs it and unknown ones ever more rarely; a bounded or session read asks up to two replicas before the primary; a cold member is paid for by tokens at the rate this router has had from warm ones, the first drawn by the seed (it should hold as well for a hall that returns and for elections; it hurts where nothing was shown yet); a share of requests is let in, weighed by worth, where one attempt of each router is too much; a connection that fails is retried ever later and working ones are kept; an error is resent once; the router's own stall blames nobody. Records moved to state.py (no logic, no values), the check of settings to Settings.validate.

Evidence for the share: slow answers less the time a check takes, so a far member is not taken for a crowded one; a time-out beside quick answers counts as a loss.

--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -111,6 +111,23 @@
     fall_us: int = 2_000_000
     dropped_stay_open: bool = False
 
+    def validate(self) -> None:
+        """Raise `ValueError` naming the first setting that makes no sense."""
+        for name in ("peers", "step_us", "max_attempts", "max_open", "ask_within_us", "fall_us",
+                                   "overload_factor"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be above 0")
+        for name in ("warm_after_us", "max_retry_after_us"):
+            if getattr(self, name) < 0:
+                raise ValueError(f"{name} must not be below 0")
+        if not 0 < self.cold_share <= 1:
+            raise ValueError("cold_share must be above 0 and at most 1")
+        if not self.classes:
+            raise ValueError("classes must name at least one class")
+        for rule in self.classes:
+            if rule.aim_us <= 0 or rule.deadline_us <= 0:
+                raise ValueError(f"classes: {rule.name} must have an aim and a deadline above 0")
+
 
 @dataclass(frozen=True, slots=True)
 class Start:
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -4,93 +4,28 @@
 no I/O. One section for each question; `_send` alone starts attempts and asks every guard each time.
 """
 
+import heapq
 import random
-from collections import OrderedDict, deque
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections import OrderedDict
 
 from oatlink import interface as api
 from oatlink.interface import Effect, Freshness, Listing, Outcome, Role, RosterKind
+from oatlink.state import LONG_AGO, NEVER, Attempt, Group, Member, Request
 
-HEARTBEAT_US = 10_000_000  # the design's default, for groups that nobody asks for
+HEARTBEAT_US = 10_000_000  # the design's default; also how long what a member has shown is believed
+CHECK_COST_US = 5_000  # what a check is taken to last before one has been answered
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
-CHECKS_A_READ = 0.5  # bounded reads pay for the checks that keep positions fresh: never more checks than work
-LEAST_ROOM = 4.0  # the same floor: about an attempt a core, for a look at whether it is well again
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One send of a request."""
-
-    member: int
-    sent_us: int
-    out: bool = True
-
-
-@dataclass(slots=True)
-class Request:
-    """A request that this router owes an answer."""
-
-    id: str
-    rule: api.RequestClass
-    group: int
-    arrived_us: int
-    expires_us: int
-    session: str | None
-    need_us: int | None
-    worth: float
-    attempts: list[Attempt] = field(default_factory=list)
-    tried: list[int] = field(default_factory=list)
-    may_have_run_us: int | None = None
-    copied: bool = False
-
-
-@dataclass(slots=True)
-class Member:
-    """The record of a member: role, position and time heard, and what it has shown of its strength."""
-
-    entry: api.RosterEntry
-    role: Role = Role.UNKNOWN
-    role_us: int = 0
-    position_us: int = -1
-    heard_us: int = -1
-    drained: bool = False
-    was_terminating: bool = False
-    answered_us: int = -1
-    check_sent_us: int | None = None
-    checked_us: int = -HEARTBEAT_US
-    check_cost_us: float = 5_000.0
-    failed_checks: int = 0
-    out: dict[tuple[str, int], int] = field(default_factory=dict)
-    duration_us: float = 0.0
-    room: float = 1.0
-    cut_us: int = 0
-    full_until_us: int = 0
-    started_us: int = 0
-    turn: int = 0
-    rate: float = 0.0
-    rate_us: int = 0
-    sends: deque[tuple[int, float]] = field(default_factory=deque)
-
-
-@dataclass(slots=True)
-class Group:
-    """The members of one group and the requests held for it."""
-
-    members: dict[int, Member] = field(default_factory=dict)
-    primary: int | None = None
-    held: dict[str, Request] = field(default_factory=dict)
-    asked_us: int = -HEARTBEAT_US
-    credit: float = 0.0
-    checked_us: int = -HEARTBEAT_US
+LEAST_SHARE = 0.05  # of requests admitted to a group whose answers are slow: enough to see it recover
+FEW_PEERS = 4  # routers of which each may always have an attempt out (one a core) and beat as the design says
+COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
 
 
 class Router:
     """Decides for one gateway."""
 
     def __init__(self, settings: api.Settings) -> None:
-        _validate(settings)
+        settings.validate()
         self._settings = settings
         self._random = random.Random(settings.seed)
         self._classes = {rule.name: rule for rule in settings.classes}
@@ -99,9 +34,9 @@
         self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 3
         bounds = [rule.staleness_us for rule in settings.classes if rule.freshness is Freshness.BOUNDED]
         self._bound_us = min(bounds, default=HEARTBEAT_US)
-        self._tick_us = max(4 * settings.step_us, 20_000)  # sweeps are rarer than batches, finer than any aim
+        self._tick_us = max(4 * settings.step_us, 20_000)  # looks are rarer than batches, finer than any aim
         self._margin_us = 2 * settings.step_us
-        self._least_room = min(1.0, LEAST_ROOM / settings.peers)  # below one: a pause after each answer
+        self._heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
         self._groups: dict[int, Group] = {}
         self._members: dict[int, Member] = {}
         self._requests: dict[str, Request] = {}
@@ -111,24 +46,30 @@
         self._shares = {name: (max(1.0, rate / settings.peers), 0.0, 0)
                         for name, rate in settings.tenant_rates}
         self._turn = 0
-        self._following = False
-        self._asked_us = 0
-        self._ask_at_us: int | None = None
+        self._shown = 0.0
+        self._answer_us = self._target_us
+        self._worth = worth / len(settings.classes)
+        self._ask_at_us = NEVER
         self._ask_wait_us = 0
-        self._sweeping = False
+        self._due: list[tuple[int, int]] = []
+        self._timer_us = NEVER
+        self._stalled_us = LONG_AGO
         self._now = 0
         self._do: list[api.Action] = []
 
     def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
         """Take one event and return the actions that it calls for, in order."""
         self._now, self._do = now_us, []
+        if now_us > self._timer_us + 2 * self._tick_us:
+            # Threat: this router stood still. Times measured across the gap say nothing of the members.
+            self._stalled_us = now_us
         match event:
             case api.Arrival():
                 self._arrive(event)
             case api.AttemptEnded():
                 self._ended(event)
             case api.TimerFired():
-                self._sweep()
+                self._timer_us = NEVER if now_us >= self._timer_us else self._timer_us
             case api.Checked():
                 self._checked(event)
             case api.Departure():
@@ -136,39 +77,82 @@
             case api.Roster():
                 self._listed(event)
             case api.Start():
-                self._ask_roster()
-        self._keep_sweeping()
+                self._start()
+        self._look_at_due()
         return self._do
 
+    # ---- What is due ----
+
+    def _look_at_due(self) -> None:
+        """Look at the groups whose time has come; one timer for the next, none when nothing waits."""
+        while self._due and self._due[0][0] <= self._now:
+            at_us, group_id = heapq.heappop(self._due)
+            group = self._groups[group_id]
+            if group.due_us == at_us:
+                group.due_us = NEVER
+                self._look(group)
+        if self._now >= self._ask_at_us:
+            self._ask_roster()
+        at_us = min(self._due[0][0] if self._due else NEVER, self._ask_at_us)
+        if at_us < self._timer_us:
+            self._timer_us = at_us
+            self._do.append(api.SetTimer("due", at_us))
+
+    def _look(self, group: Group) -> None:
+        """What waits in a group: silent members, requests past their time, room for the held."""
+        if group.held and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
+            self._check_all(group)
+        for member in list(group.members.values()):
+            if self._now >= self._silent_at(group, member):
+                self._check(member)
+        for request in [one for one in group.held.values() if self._now >= self._give_up_at(one)]:
+            if any(one.out for one in request.attempts):
+                group.held.pop(request.id)
+            else:
+                self._give_up(request)
+        self._pump(group)
+
+    def _plan(self, group: Group) -> None:
+        """When to look at a group next: soon while requests are held, else when an attempt grows overdue."""
+        at_us = NEVER
+        if group.held:
+            ends = [self._give_up_at(one) for one in group.held.values()]
+            ends += [one.full_until_us for one in group.members.values() if one.full_until_us > self._now]
+            at_us = max(self._now + self._tick_us, min([*ends, self._now + HOLD_CHECK_US // 5]))
+        else:
+            silent = [self._silent_at(group, one) for one in group.members.values()]
+            at_us = max(self._now + self._tick_us, round(min([NEVER, *silent])))
+        if at_us < group.due_us:
+            group.due_us = at_us
+            heapq.heappush(self._due, (at_us, group.id))
+
     # ---- Roster and drains ----
 
-    def _ask_roster(self) -> None:
-        """Subscribe where discovery must be asked."""
+    def _start(self) -> None:
+        """Subscribe where discovery must be asked. Threat: all routers may start in the same instant."""
         if self._settings.must_ask_roster:
-            self._do.append(api.FollowRoster())
-            self._asked_us = self._now
-            self._ask_at_us = self._now + self._settings.ask_within_us // 4
+            spread_us = self._settings.ask_within_us // 4 if self._settings.peers > FEW_PEERS else 0
+            self._ask_at_us = self._now + round(spread_us * self._random.random())
+
+    def _ask_roster(self) -> None:
+        """Subscribe, and again should nothing come; a plain fetch too once that has failed for long."""
+        self._ask_at_us = self._now + self._settings.ask_within_us // 4
+        self._do.append(api.FollowRoster())
+        if self._now + self._ask_wait_us >= self._ask_at_us:
+            self._do.append(api.FetchRoster())
 
     def _roster_failed(self) -> None:
         """Threat: a list that cannot be reached hides drains; ask again, ever more rarely, spread out."""
-        self._following = False
         longest = self._settings.ask_within_us // 4
         self._ask_wait_us = min(longest, max(2 * self._ask_wait_us, longest // 8))
-        self._ask_at_us = self._now + round(self._ask_wait_us * self._random.uniform(0.5, 1.0))
-
-    def _ask_again(self) -> None:
-        """Repeat a call that failed or stayed unanswered; a plain fetch goes with every new subscription."""
-        if self._ask_at_us is not None and self._now >= self._ask_at_us and not self._following:
-            self._ask_roster()
-            self._do.append(api.FetchRoster())
+        self._ask_at_us = self._now + round(self._ask_wait_us * self._random.uniform(0.5, 1.5))
 
     def _listed(self, roster: api.Roster) -> None:
         """Take in a list: who is there, who drains, who has started."""
         if roster.kind is RosterKind.FAILED:
-            self._roster_failed()
-            return
+            return self._roster_failed()
         if roster.kind is not RosterKind.SAVED:
-            self._following, self._ask_wait_us = True, 0
+            self._ask_at_us, self._ask_wait_us = NEVER, 0
         for entry in roster.entries:
             self._enter(entry)
         if roster.kind is not RosterKind.CHANGES:
@@ -183,13 +167,18 @@
             if member is not None:
                 self._leave(member)
             return
+        group = self._groups.setdefault(entry.group, Group(entry.group))
         if member is None:
-            member = self._members[entry.member] = Member(entry)
-            member.room = max(self._least_room, START_ROOM / self._settings.peers)
+            # Threat: a new member is everybody's next. Its first turn, and its first token, are drawn.
+            turn = self._turn - self._random.random() * (len(group.members) + 1)
+            room = max(1.0, START_ROOM / self._settings.peers)
+            member = Member(entry, turn, self._random.random(), room, CHECK_COST_US)
+            self._members[entry.member] = member
         member.entry = entry
-        group = self._groups.setdefault(entry.group, Group())
         group.members[entry.member] = member
-        member.started_us = max(member.started_us, entry.started_us)
+        if entry.started_us > member.started_us:
+            member.started_us, member.tokens = entry.started_us, self._random.random()
+            member.room, member.duration_us = 1.0, 0.0
         member.drained = entry.listing is Listing.TERMINATING
         if member.drained:
             member.was_terminating = True
@@ -220,12 +209,11 @@
         true_us = self._now if fresh or report.position_us is None else report.position_us
         if report.position_us is not None:
             member.position_us = max(member.position_us, report.position_us)
+            member.lag_us = self._now - member.position_us
         if report.role is Role.PRIMARY:
             self._claim(member, true_us)
         elif report.role is Role.REPLICA and (member.role is not Role.PRIMARY or true_us >= member.role_us):
             self._set_replica(member, true_us)
-        if member.role is Role.REPLICA and member.out and self._now - member.position_us > self._bound_us:
-            self._cut(member)  # Threat: a crowded replica has no time to apply the log; fewer reads help
 
     def _claim(self, member: Member, true_us: int) -> None:
         """One primary a group: the later claim stands, an older one is turned unknown and checked at once."""
@@ -266,6 +254,7 @@
                 request.copied = True
                 request.tried.append(member.entry.member)
                 group.held[request.id] = request
+        self._plan(group)
 
     def _take_list_role(self, member: Member) -> None:
         """Where members cannot say their role, the list's word stands until an answer is heard."""
@@ -282,7 +271,7 @@
             return
         weight = min(1.0, member.check_cost_us / max(member.duration_us, 10 * member.check_cost_us))
         if self._within_budget(member, weight):
-            member.sends.append((self._now, weight))
+            member.tokens -= weight
             member.check_sent_us = member.checked_us = self._now
             self._do.append(api.Check(member.entry.member))
 
@@ -294,13 +283,13 @@
         sent_us, member.check_sent_us = member.check_sent_us or 0, None
         if event.outcome is Outcome.SERVED:
             if member.failed_checks:
-                self._come_back(member)
-            member.failed_checks = 0
+                # Threat: a member comes back cold, hung work still in it; it starts with little room.
+                member.failed_checks, member.room, member.duration_us = 0, 1.0, 0.0
             member.check_cost_us += 0.2 * (event.duration_us - member.check_cost_us)
             self._hear(member, event.report, fresh=False)
             if member.role is Role.UNKNOWN and (event.report is None or event.report.role is Role.UNKNOWN):
                 self._take_list_role(member)
-        elif event.outcome is not Outcome.FULL and member.answered_us < sent_us:
+        elif event.outcome is not Outcome.FULL and max(member.answered_us, self._stalled_us) < sent_us:
             # Threat: checks that fail though the member works. An answer since the check went out says more.
             member.failed_checks += 1
             self._lose(member)
@@ -311,62 +300,66 @@
                     self._take_list_role(one)
         self._pump(self._groups[member.entry.group])
 
-    def _come_back(self, member: Member) -> None:
-        """Threat: a member comes back cold, hung work still in it; it starts with little room."""
-        member.room = self._least_room
-        member.duration_us = 0.0
-
     def _heartbeats(self, group: Group) -> None:
-        """Check each member when its record has grown old for what the group is asked."""
-        asked = self._now - group.asked_us < HEARTBEAT_US
-        if asked and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
-            self._check_all(group)
+        """Check what has grown old, when a request comes for the group.
+
+        Threat: hundreds of routers that check all members all the time are more work than the requests. An
+        answer is as good as a check, and a group that nobody asks for needs none.
+        """
         for member in group.members.values():
-            since = self._now - member.checked_us
-            if not asked:
-                due = since >= HEARTBEAT_US
-            elif member.role is Role.UNKNOWN:
-                due = since >= HOLD_CHECK_US
-            elif member.role is Role.PRIMARY:
-                due = since >= self._target_us  # a hung primary must not take writes for longer than this
-            else:
-                due = since >= HEARTBEAT_US or self._is_silent(group, member)
-            if due:
-                self._check(member)
-            elif group.credit >= 1 and self._grows_stale(member):
-                group.credit -= 1
+            if member.role is Role.UNKNOWN:
+                self._check_unknown(member)
+            elif self._now - max(member.heard_us, member.checked_us) >= self._heartbeat_us:
                 self._check(member)
 
-    def _is_silent(self, group: Group, member: Member) -> bool:
-        """Threat: a member takes work and answers nothing. Overdue work, no word since: check it."""
+    def _check_unknown(self, member: Member) -> None:
+        """Ask a member again at the design's half seconds, but one that does not answer ever more rarely."""
+        if self._now - member.checked_us >= HOLD_CHECK_US << min(max(0, member.failed_checks - 1), 4):
+            self._check(member)
+
+    def _silent_at(self, group: Group, member: Member) -> float:
+        """Threat: a member takes work and answers nothing. When to check it: work overdue, no word."""
         if not member.out:
-            return False
-        waiting = self._now - max(member.heard_us, next(iter(member.out.values())))
-        return waiting > 2 * self._usual_us(group) and self._now - member.checked_us >= self._target_us
+            return NEVER
+        since = max(member.heard_us, next(iter(member.out.values())), self._stalled_us)
+        return max(since + 2 * self._usual_us(group), member.checked_us + self._target_us)
+
+    def _ask_replica(self, request: Request, group: Group) -> bool:
+        """Whether a report now asked for may let a replica take a read.
 
-    def _grows_stale(self, member: Member) -> bool:
-        """Bounded reads need a reported position: ask before the known one is too old for the next read."""
-        return (member.role is Role.REPLICA and self._now - member.position_us > self._bound_us // 2
-                and self._now - member.checked_us >= self._bound_us // 4)
+        Threat: hundreds of routers that know no fresh position would leave all reads to the primary.
+        """
+        if request.rule.freshness not in (Freshness.BOUNDED, Freshness.SESSION):
+            return False
+        replicas = [one for one in group.members.values() if one.role is Role.REPLICA and not one.drained]
+        if any(one.check_sent_us is not None and not self._in_doubt(one) for one in replicas):
+            return True
+        unasked = [one for one in replicas if one.checked_us < min(
+            request.arrived_us, self._now - self._bound_us // 4)]
+        member = self._turn_over(unasked) if request.asked < 2 else None
+        if member is None:
+            return False
+        request.asked += 1
+        self._check(member)
+        return member.check_sent_us is not None
 
     def _check_all(self, group: Group) -> None:
         """Check every member of a group."""
         group.checked_us = self._now
         for member in group.members.values():
-            self._check(member)
+            self._check_unknown(member)
 
     def _in_doubt(self, member: Member) -> bool:
         """Threat: a hung or unreachable member. A check that is overdue holds new work back until it ends."""
-        return (member.check_sent_us is not None and member.answered_us < member.check_sent_us
+        return (member.check_sent_us is not None
+                and max(member.answered_us, self._stalled_us) < member.check_sent_us
                 and self._now - member.check_sent_us > max(2 * self._tick_us, 4 * member.check_cost_us))
 
     # ---- Read and write selection ----
 
     def _choose(self, request: Request) -> Member | None:
         """The member that takes a request now, or none."""
-        group = self._groups.get(request.group)
-        if group is None:
-            return None
+        group = self._groups[request.group]
         primary = group.members.get(group.primary) if group.primary is not None else None
         if request.rule.freshness is Freshness.WRITE:
             return primary if primary is not None and self._has_room(primary, 1.0) else None
@@ -375,11 +368,12 @@
                     if one.role is Role.REPLICA and not self._in_doubt(one)]
         fit = [one for one in replicas if one.position_us >= need]
         untried = [one for one in fit if one.entry.member not in request.tried]
-        if not fit and self._settings.members_check_reads and replicas:
-            # Threat: all replicas behind. One try at the most advanced; after its miss the read moves on.
-            ahead = max(replicas, key=lambda one: one.position_us)
-            untried = [] if ahead.entry.member in request.tried else [ahead]
         best = self._turn_over(untried)
+        if best is None and not fit and self._settings.members_check_reads:
+            others = [one for one in replicas if one.entry.member not in request.tried]
+            best = self._most_advanced(others, need)
+        elif best is None and not fit and self._settings.may_probe and self._ask_replica(request, group):
+            return None
         # Threat: reads crowd out what only the primary takes. Those with a choice get half of its room,
         # current reads, which have none, three quarters, writes all.
         share = 0.75 if request.rule.freshness is Freshness.LATEST else 0.5
@@ -387,6 +381,14 @@
             best = primary
         return best or self._turn_over(fit)
 
+    def _most_advanced(self, replicas: list[Member], need: int) -> Member | None:
+        """Threat: a router with few reads knows no fresh position. A miss costs little; the read moves on.
+
+        Replicas near enough when last heard take turns; with none, the most advanced gets its one try.
+        """
+        likely = [one for one in replicas if self._now - one.lag_us >= need]
+        return self._turn_over(likely) or min(replicas, key=lambda one: one.lag_us, default=None)
+
     def _need(self, request: Request) -> int:
         """The position that a read must see."""
         if request.rule.freshness is Freshness.BOUNDED:
@@ -398,14 +400,18 @@
         ready = [one for one in members if self._has_room(one, 1.0)]
         if not ready:
             return None
+        # Threat: a cold member of many routers. Each passes it over by chance, as far as it is cold.
+        ready = [one for one in ready if self._random.random() < self._warmth(one)] or ready
         waits = [self._wait(one) for one in ready]
-        limit = 1.25 * min(waits)
+        limit = 1.2 * min(waits)
         near = [one for one, wait in zip(ready, waits, strict=True) if wait <= limit]
         return min(near, key=lambda one: one.turn)
 
     def _wait(self, member: Member) -> float:
         """What a new attempt may take there, by its answers and what is out; other zones cost more."""
-        base = member.duration_us or self._usual_us(self._groups[member.entry.group])
+        base = self._usual_us(self._groups[member.entry.group])
+        if member.duration_us and self._now - member.answered_us < 2 * HEARTBEAT_US:
+            base = member.duration_us
         if member.out:
             base = max(base, float(self._now - next(iter(member.out.values()))))
         wait = base * (1 + len(member.out))
@@ -420,7 +426,7 @@
         number = len(request.attempts)
         request.attempts.append(Attempt(member.entry.member, self._now))
         member.out[(request.id, number)] = self._now
-        member.sends.append((self._now, 1.0))
+        member.tokens -= 1.0
         self._turn += 1
         member.turn = self._turn
         self._groups[request.group].held.pop(request.id, None)
@@ -441,19 +447,17 @@
             return False
         if request.rule.effect is Effect.IDEMPOTENT:
             return True
-        if waiting:
-            return False
         first = request.may_have_run_us
-        if first is None:
-            return True
-        return (request.rule.effect is Effect.KEYED
-                and self._now + self._margin_us < first + request.rule.repeat_window_us)
+        return not waiting and (first is None or (
+            request.rule.effect is Effect.KEYED
+            and self._now + self._margin_us < first + request.rule.repeat_window_us))
 
     def _ended(self, event: api.AttemptEnded) -> None:
         """An attempt has ended: learn from it, then answer, resend or hold its request."""
         member = self._members.get(event.member)
-        if member is not None and member.out.pop((event.request, event.attempt), None) is not None:
-            self._learn(member, event)
+        sent_us = member.out.pop((event.request, event.attempt), None) if member is not None else None
+        if member is not None and sent_us is not None:
+            self._learn(member, event, sent_us)
         request = self._requests.get(event.request)
         if request is not None and event.attempt < len(request.attempts):
             attempt = request.attempts[event.attempt]
@@ -464,21 +468,26 @@
                 if event.outcome.may_have_run and request.may_have_run_us is None:
                     request.may_have_run_us = attempt.sent_us
                 self._go_on(request, event)
-        if member is not None:
+            self._pump(self._groups[request.group])
+        elif member is not None:
             self._pump(self._groups[member.entry.group])
 
-    def _learn(self, member: Member, event: api.AttemptEnded) -> None:
+    def _learn(self, member: Member, event: api.AttemptEnded, sent_us: int) -> None:
         """The error rules: what an outcome says of its member."""
         if event.answer is not None:
             member.answered_us = self._now
             self._hear(member, event.answer, fresh=True)
         if event.report is not None:
             self._hear(member, event.report, fresh=False)
-        self._grow(member, event)
-        if event.outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
+        if sent_us >= self._stalled_us:
+            self._grow(member, event)
+        if event.outcome is Outcome.NO_CONNECTION and self._now - member.answered_us < HEARTBEAT_US:
+            # Threat: the member is full for this router. Connections that worked are kept; a check tells.
+            self._check(member)
+        elif event.outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
             self._do.append(api.DropIdle(member.entry.member))
             self._lose(member)
-            member.failed_checks += 1
+            member.failed_checks += event.outcome is Outcome.RESET
             self._check(member)
         elif event.outcome is Outcome.MISS or event.outcome is Outcome.ERROR:
             request = self._requests.get(event.request)
@@ -504,9 +513,12 @@
             self._give_up(request)
             return
         request.tried.append(event.member)
+        # Threat: requests that fail everywhere. One error may be the member's, a second is the request's.
+        again, request.failed = request.failed, request.failed or event.outcome is Outcome.ERROR
         if any(one.out for one in request.attempts):
             return
-        if len(request.attempts) >= self._settings.max_attempts or not self._may_repeat(request):
+        if (len(request.attempts) >= self._settings.max_attempts or not self._may_repeat(request)
+                or (again and event.outcome is Outcome.ERROR)):
             self._give_up(request)
             return
         self._place(request)
@@ -516,26 +528,26 @@
     def _arrive(self, event: api.Arrival) -> None:
         """A request has come in: send it, or hold it until its group can take it."""
         rule = self._classes[event.class_name]
-        group = self._groups.setdefault(event.group, Group())
+        group = self._groups.setdefault(event.group, Group(event.group))
         need = None
         if rule.freshness is Freshness.LATEST:
             need = self._now
         elif rule.freshness is Freshness.SESSION:
             need = self._session_need(event)
-        elif rule.freshness is Freshness.BOUNDED:
-            group.credit = min(group.credit + CHECKS_A_READ, float(len(group.members)))
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
                           event.session, need, rule.worth * self._share_worth(event.tenant))
         self._requests[request.id] = request
-        fresh = self._now - group.asked_us >= HEARTBEAT_US
-        group.asked_us = self._now
-        if fresh:
+        if group.checked_us < 0:
             self._check_all(group)  # the first request of a group asks its members who they are
-        if group.held and request.worth < rule.worth:
-            # Threat: a tenant's flood. Past its share it does not pass what waits.
-            group.held[request.id] = request
         else:
-            self._place(request)
+            self._heartbeats(group)
+        self._worth += 0.05 * (request.worth - self._worth)
+        drawn = self._random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
+        if drawn > group.share ** self._worth:
+            self._give_up(request)
+        else:  # Threat: a tenant's flood. Past its share it does not pass what waits.
+            self._place(request, wait=bool(group.held) and request.worth < rule.worth)
+        self._plan(group)
 
     def _share_worth(self, tenant: str | None) -> float:
         """What a tenant's next request counts: all within its share, little past it."""
@@ -562,20 +574,22 @@
             _, oldest = self._sessions.popitem(last=False)
             self._forgotten_us = max(self._forgotten_us, oldest)
 
-    def _place(self, request: Request) -> None:
-        """Send a request, or hold it."""
-        member = self._choose(request)
+    def _place(self, request: Request, wait: bool = False) -> None:
+        """Send a request, or hold it. Threat: a client's last try, with too little time left for a hold."""
+        member = None if wait else self._choose(request)
         if member is None or not self._send(request, member):
             self._groups[request.group].held[request.id] = request
+            if self._now >= self._give_up_at(request):
+                self._give_up(request)
 
     def _pump(self, group: Group) -> None:
         """Send what is held for a group, the most urgent worth first, as far as there is room."""
-        if not group.held or all(len(one.out) >= max(1.0, one.room) for one in group.members.values()):
-            return
-        for request in sorted(group.held.values(), key=self._urgency):
-            member = self._choose(request)
-            if member is not None:
-                self._send(request, member)
+        if any(len(one.out) < one.room for one in group.members.values()):
+            for request in sorted(group.held.values(), key=self._urgency):
+                member = self._choose(request)
+                if member is not None:
+                    self._send(request, member)
+        self._plan(group)
 
     def _urgency(self, request: Request) -> tuple[float, int]:
         """What serving a held request now earns: more first, then the older."""
@@ -600,8 +614,9 @@
         harmless = request.rule.effect is Effect.IDEMPOTENT or (
             request.may_have_run_us is None and not any(one.out for one in request.attempts))
         if harmless and self._now < request.expires_us - self._margin_us:
-            wait = round(self._settings.max_retry_after_us * self._random.uniform(0.25, 1.0))
-            self._do.append(api.Refuse(request.id, wait))
+            past = request.rule.late_worth <= 0 and self._now >= request.arrived_us + request.rule.aim_us
+            wait = self._settings.max_retry_after_us * (1.0 if past else self._random.uniform(0.25, 1.0))
+            self._do.append(api.Refuse(request.id, round(wait)))
         else:
             self._do.append(api.Fail(request.id))
         self._forget(request.id)
@@ -612,25 +627,6 @@
         if request is not None:
             self._groups[request.group].held.pop(request_id, None)
 
-    def _sweep(self) -> None:
-        """The regular look at everything that waits."""
-        self._sweeping = False
-        self._ask_again()
-        for group in self._groups.values():
-            self._heartbeats(group)
-            for request in [one for one in group.held.values() if self._now >= self._give_up_at(one)]:
-                if any(one.out for one in request.attempts):
-                    group.held.pop(request.id)
-                else:
-                    self._give_up(request)
-            self._pump(group)
-
-    def _keep_sweeping(self) -> None:
-        """One timer at a time."""
-        if not self._sweeping:
-            self._sweeping = True
-            self._do.append(api.SetTimer("sweep", self._now + self._tick_us))
-
     def _log(self, text: str) -> None:
         """A line for the people on call."""
         self._do.append(api.Log(text))
@@ -645,22 +641,26 @@
         return self._settings.cold_share + (1.0 - self._settings.cold_share) * max(0, age) / whole
 
     def _within_budget(self, member: Member, weight: float) -> bool:
-        """Threat: a cold member pushed over. What goes there in a window stays within this router's share.
+        """Threat: a cold member pushed over by all routers. What goes there is paid by tokens.
 
-        The full strength is what this router alone has had from warm members of the kind, so that the shares
-        of all routers add up to no more than one member can do; half of it is left for chance.
+        They come at the rate that this router alone has had from warm members (kept: a release leaves none),
+        so that all routers add up to what one can do; half is left for chance. Where a router's part is below
+        one, few send at all, in an order drawn with the first token.
         """
-        while member.sends and member.sends[0][0] <= self._now - self._settings.fall_us:
-            member.sends.popleft()
         warmth = self._warmth(member)
         if warmth >= 1.0:
             return True
         rates = [self._rate(one) for one in self._members.values()
-                 if one.entry.kind == member.entry.kind and one is not member and self._warmth(one) >= 1.0]
-        shown = sum(rates) / len(rates) if rates else 0.0
+                 if not one.drained and self._warmth(one) >= 1.0]
+        shown = sum(rates) / len(rates) if rates else self._shown
+        self._shown = max(shown, 0.99 * self._shown + 0.01 * shown)
         window_s = self._settings.fall_us / 1e6
-        allowed = 0.5 * self._settings.overload_factor * warmth * shown * window_s
-        return sum(cost for _, cost in member.sends) + weight <= max(2.0, allowed)
+        rate = max(COLD_FLOOR / self._settings.peers / window_s,
+                   0.5 * self._settings.overload_factor * warmth * self._shown)
+        passed_s = (self._now - max(member.tokens_us, member.started_us)) / 1e6
+        member.tokens = min(max(1.0, rate * window_s), member.tokens + rate * max(0.0, passed_s))
+        member.tokens_us = self._now
+        return member.tokens >= weight
 
     def _rate(self, member: Member) -> float:
         """Answers a second from a member, averaged over about a heartbeat."""
@@ -672,54 +672,56 @@
         """Whether a member may have one more attempt out, within a share of what it has shown it can hold."""
         room = max(1.0, member.room * share * self._warmth(member))
         return (not member.drained and not self._in_doubt(member) and self._now >= member.full_until_us
-                and len(member.out) + 1 <= room)
+                and len(member.out) + 1 <= room and self._within_budget(member, 1.0))
 
     def _grow(self, member: Member, event: api.AttemptEnded) -> None:
         """Room follows what a member shows: more while answers come in good time, less when slow or full."""
         if event.outcome is Outcome.SERVED:
             member.rate = self._rate(member) + 1e6 / HEARTBEAT_US
             member.rate_us = self._now
-            member.duration_us += 0.1 * (event.duration_us - member.duration_us) if member.duration_us else (
-                event.duration_us)
+            member.refused = 0
+            usual = self._usual_us(self._groups[member.entry.group])
+            member.duration_us = (member.duration_us or usual) + 0.1 * (
+                event.duration_us - (member.duration_us or usual))
+            self._answer_us += 0.05 * (event.duration_us - self._answer_us)
+            request = self._requests.get(event.request)
+            self._admit_by(member, request is not None
+                           and event.duration_us - member.check_cost_us > request.rule.aim_us / 2)
             if member.duration_us > self._target_us:
                 self._cut(member)
             elif len(member.out) + 1 >= member.room / 2:
                 member.room += min(0.25 * member.room, 1.0 / member.room)
-            if member.room < 1.0:
-                # Threat: one attempt of each of many routers is already too much. Room below one is a pause.
-                pause = event.duration_us * (1.0 / member.room - 1.0) * self._random.uniform(0.5, 1.5)
-                member.full_until_us = self._now + round(min(pause, self._target_us))
         elif event.outcome is Outcome.FULL:
             member.full_until_us = self._now + round(self._random.uniform(0.5, 1.5) * 4 * self._tick_us)
             self._cut(member)
         elif event.outcome is Outcome.LATE:
             self._cut(member)
+            if self._usual_us(self._groups[member.entry.group]) > self._target_us:
+                self._admit_by(member, True)  # where other answers are quick, this one was lost
+        elif event.outcome is Outcome.NO_CONNECTION:
+            # Threat: a member that takes few connections. The next try waits, longer each time.
+            pause = min(self._tick_us << min(member.refused, 8), HOLD_CHECK_US)
+            member.full_until_us = self._now + round(pause * self._random.uniform(0.5, 1.5))
+            member.refused += 1
 
     def _cut(self, member: Member) -> None:
         """Less room, once for each round of answers."""
         if self._now - member.cut_us >= member.duration_us:
-            member.room, member.cut_us = max(self._least_room, 0.8 * member.room), self._now
+            member.room, member.cut_us = max(1.0, 0.8 * member.room), self._now
+
+    def _admit_by(self, member: Member, slow: bool) -> None:
+        """Threat: one attempt of each of many routers is already too much; room cannot fall below one.
+
+        Then a share of the requests is let in, by chance, so that busy and idle routers give up alike. An
+        answer is slow when it took half its aim, the way there (as checks show it) left out.
+        """
+        group = self._groups[member.entry.group]
+        if not slow:
+            group.share = min(1.0, group.share + 0.05)
+        elif member.room <= 1.0 and self._settings.peers > FEW_PEERS:
+            group.share = max(LEAST_SHARE, 0.8 * group.share)
 
     def _usual_us(self, group: Group) -> float:
         """What an answer of the group takes by what its members have shown."""
         shown = [one.duration_us for one in group.members.values() if one.duration_us > 0]
-        return sum(shown) / len(shown) if shown else self._target_us
-
-
-def _validate(settings: api.Settings) -> None:
-    """Raise `ValueError` naming the first setting that makes no sense."""
-    positive: Iterable[str] = ("peers", "step_us", "max_attempts", "max_open", "ask_within_us", "fall_us",
-                               "overload_factor")
-    for name in positive:
-        if getattr(settings, name) <= 0:
-            raise ValueError(f"{name} must be above 0")
-    for name in ("warm_after_us", "max_retry_after_us"):
-        if getattr(settings, name) < 0:
-            raise ValueError(f"{name} must not be below 0")
-    if not 0 < settings.cold_share <= 1:
-        raise ValueError("cold_share must be above 0 and at most 1")
-    if not settings.classes:
-        raise ValueError("classes must name at least one class")
-    for rule in settings.classes:
-        if rule.aim_us <= 0 or rule.deadline_us <= 0:
-            raise ValueError(f"classes: {rule.name} must have an aim and a deadline above 0")
+        return sum(shown) / len(shown) if shown else self._answer_us
--- /dev/null
+++ b/oatlink/state.py
@@ -0,0 +1,84 @@
+"""What a router keeps of its requests, members and groups: plain records, with no logic and no tuned value.
+
+Times are integer microseconds on one clock; `LONG_AGO` lies before all of them, `NEVER` after.
+"""
+
+from dataclasses import dataclass, field
+
+from oatlink import interface as api
+
+LONG_AGO = -(2**62)
+NEVER = 2**62
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a request."""
+
+    member: int
+    sent_us: int
+    out: bool = True
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that this router owes an answer."""
+
+    id: str
+    rule: api.RequestClass
+    group: int
+    arrived_us: int
+    expires_us: int
+    session: str | None
+    need_us: int | None
+    worth: float
+    attempts: list[Attempt] = field(default_factory=list)
+    tried: list[int] = field(default_factory=list)
+    may_have_run_us: int | None = None
+    copied: bool = False
+    failed: bool = False
+    asked: int = 0
+
+
+@dataclass(slots=True)
+class Member:
+    """The record of a member: role, position and time heard, and what it has shown of its strength."""
+
+    entry: api.RosterEntry
+    turn: float
+    tokens: float
+    room: float
+    check_cost_us: float
+    role: api.Role = api.Role.UNKNOWN
+    role_us: int = 0
+    position_us: int = -1
+    lag_us: int = 0
+    heard_us: int = LONG_AGO
+    answered_us: int = LONG_AGO
+    drained: bool = False
+    was_terminating: bool = False
+    check_sent_us: int | None = None
+    checked_us: int = LONG_AGO
+    failed_checks: int = 0
+    refused: int = 0
+    out: dict[tuple[str, int], int] = field(default_factory=dict)
+    duration_us: float = 0.0
+    cut_us: int = 0
+    full_until_us: int = 0
+    started_us: int = 0
+    rate: float = 0.0
+    rate_us: int = 0
+    tokens_us: int = 0
+
+
+@dataclass(slots=True)
+class Group:
+    """The members of one group and the requests held for it."""
+
+    id: int
+    members: dict[int, Member] = field(default_factory=dict)
+    primary: int | None = None
+    held: dict[str, Request] = field(default_factory=dict)
+    share: float = 1.0
+    checked_us: int = LONG_AGO
+    due_us: int = NEVER
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -86,6 +86,10 @@
             )
         )
 
+    def skip(self, us: int) -> None:
+        """Let time pass with all that comes due; what is done meanwhile does not matter to the test."""
+        self.wait(us)
+
     def wait(self, us: int) -> list[api.Action]:
         """Let time pass; timers fire as they come due."""
         end, done = self.now + us, []
