Refused connections are not a dead member; a full member lets fewer in

A member heard of within a heartbeat keeps its role and its connections, is checked only when unheard for a third of the aim, and loses its turn while it refuses. Evidence: the checks of those members passed in the same second, so full for this router, not dead. Holds as well for a member whose accept queue is full; a member that has just died is unknown one check later than before.

--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -60,8 +60,7 @@
     def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
         """Take one event and return the actions that it calls for, in order."""
         self._now, self._do = now_us, []
-        if now_us > self._timer_us + 2 * self._tick_us:
-            # Threat: this router stood still. Times measured across the gap say nothing of the members.
+        if now_us > self._timer_us + 2 * self._tick_us:  # Threat: this router stood still, not the members
             self._stalled_us = now_us
         match event:
             case api.Arrival():
@@ -173,9 +172,8 @@
             turn = self._turn - self._random.random() * (len(group.members) + 1)
             room = max(1.0, START_ROOM / self._settings.peers)
             member = Member(entry, turn, self._random.random(), room, CHECK_COST_US)
-            self._members[entry.member] = member
         member.entry = entry
-        group.members[entry.member] = member
+        self._members[entry.member] = group.members[entry.member] = member
         if entry.started_us > member.started_us:
             member.started_us, member.tokens = entry.started_us, self._random.random()
             member.room, member.duration_us = 1.0, 0.0
@@ -283,7 +281,7 @@
         sent_us, member.check_sent_us = member.check_sent_us or 0, None
         if event.outcome is Outcome.SERVED:
             if member.failed_checks:
-                # Threat: a member comes back cold, hung work still in it; it starts with little room.
+                # Threat: a member comes back cold, with hung work in it
                 member.failed_checks, member.room, member.duration_us = 0, 1.0, 0.0
             member.check_cost_us += 0.2 * (event.duration_us - member.check_cost_us)
             self._hear(member, event.report, fresh=False)
@@ -414,7 +412,7 @@
             base = member.duration_us
         if member.out:
             base = max(base, float(self._now - next(iter(member.out.values()))))
-        wait = base * (1 + len(member.out))
+        wait = base * (1 + len(member.out)) * (1 + min(member.refused, 2))
         return wait if member.entry.zone == self._settings.zone else 1.25 * wait
 
     # ---- Attempt outcomes ----
@@ -481,9 +479,10 @@
             self._hear(member, event.report, fresh=False)
         if sent_us >= self._stalled_us:
             self._grow(member, event)
-        if event.outcome is Outcome.NO_CONNECTION and self._now - member.answered_us < HEARTBEAT_US:
+        if event.outcome is Outcome.NO_CONNECTION and self._now - member.heard_us < HEARTBEAT_US:
             # Threat: the member is full for this router. Connections that worked are kept; a check tells.
-            self._check(member)
+            if self._now - member.heard_us > self._target_us:
+                self._check(member)
         elif event.outcome in (Outcome.RESET, Outcome.NO_CONNECTION):
             self._do.append(api.DropIdle(member.entry.member))
             self._lose(member)
@@ -694,6 +693,7 @@
         elif event.outcome is Outcome.FULL:
             member.full_until_us = self._now + round(self._random.uniform(0.5, 1.5) * 4 * self._tick_us)
             self._cut(member)
+            self._admit_by(member, True)
         elif event.outcome is Outcome.LATE:
             self._cut(member)
             if self._usual_us(self._groups[member.entry.group]) > self._target_us:
