--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -18,6 +18,7 @@
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 LEAST_SHARE = 0.05  # of requests admitted to a group whose answers are slow: enough to see it recover
 FEW_PEERS = 4  # routers of which each may always have an attempt out (one a core) and beat as the design says
+COLD_PART = 0.7  # of what a cold member bears, given out among all routers: the rest is left for chance
 COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
 
 
@@ -398,8 +399,6 @@
         ready = [one for one in members if self._has_room(one, 1.0)]
         if not ready:
             return None
-        # Threat: a cold member of many routers. Each passes it over by chance, as far as it is cold.
-        ready = [one for one in ready if self._random.random() < self._warmth(one)] or ready
         waits = [self._wait(one) for one in ready]
         limit = 1.2 * min(waits)
         near = [one for one, wait in zip(ready, waits, strict=True) if wait <= limit]
@@ -643,7 +642,7 @@
         """Threat: a cold member pushed over by all routers. What goes there is paid by tokens.
 
         They come at the rate that this router alone has had from warm members (kept: a release leaves none),
-        so that all routers add up to what one can do; half is left for chance. Where a router's part is below
+        so that all routers add up to what one can do; some is left for chance. Where a router's part is below
         one, few send at all, in an order drawn with the first token.
         """
         warmth = self._warmth(member)
@@ -655,7 +654,7 @@
         self._shown = max(shown, 0.99 * self._shown + 0.01 * shown)
         window_s = self._settings.fall_us / 1e6
         rate = max(COLD_FLOOR / self._settings.peers / window_s,
-                   0.5 * self._settings.overload_factor * warmth * self._shown)
+                   COLD_PART * self._settings.overload_factor * warmth * self._shown)
         passed_s = (self._now - max(member.tokens_us, member.started_us)) / 1e6
         member.tokens = min(max(1.0, rate * window_s), member.tokens + rate * max(0.0, passed_s))
         member.tokens_us = self._now
