Holds are not gone through at every event; warm rates are summed once an instant

Each event planned over all holds, and each look at a cold member summed the rates of all members. Now a group already due within a look is not planned again, the release asks for room first, and the sum is made once an instant. Should hold against any heap of holds; it can delay a look by one tick.

--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -47,7 +47,7 @@
         self._shares = {name: (max(1.0, rate / settings.peers), 0.0, 0)
                         for name, rate in settings.tenant_rates}
         self._turn = 0
-        self._shown = 0.0
+        self._shown, self._shown_us = 0.0, LONG_AGO
         self._answer_us = self._target_us
         self._worth = worth / len(settings.classes)
         self._ask_at_us = NEVER
@@ -114,7 +114,8 @@
 
     def _plan(self, group: Group) -> None:
         """When to look at a group next: soon while requests are held, else when an attempt grows overdue."""
-        at_us = NEVER
+        if group.due_us <= self._now + self._tick_us:
+            return  # Threat: thousands of holds, each counted again at every event
         if group.held:
             ends = [self._give_up_at(one) for one in group.held.values()]
             ends += [one.full_until_us for one in group.members.values() if one.full_until_us > self._now]
@@ -582,7 +583,7 @@
 
     def _pump(self, group: Group) -> None:
         """Send what is held for a group, the most urgent worth first, as far as there is room."""
-        if any(len(one.out) < one.room for one in group.members.values()):
+        if group.held and any(self._has_room(one, 1.0) for one in group.members.values()):
             for request in sorted(group.held.values(), key=self._urgency):
                 member = self._choose(request)
                 if member is not None:
@@ -641,17 +642,17 @@
     def _within_budget(self, member: Member, weight: float) -> bool:
         """Threat: a cold member pushed over by all routers. What goes there is paid by tokens.
 
-        They come at the rate that this router alone has had from warm members (kept: a release leaves none),
-        so that all routers add up to what one can do; some is left for chance. Where a router's part is below
-        one, few send at all, in an order drawn with the first token.
+        They come at the rate that this router alone has had from warm members, kept for a release that leaves
+        none, so that all routers add up to what one can do. The first is drawn: few send at once.
         """
         warmth = self._warmth(member)
         if warmth >= 1.0:
             return True
-        rates = [self._rate(one) for one in self._members.values()
-                 if not one.drained and self._warmth(one) >= 1.0]
-        shown = sum(rates) / len(rates) if rates else self._shown
-        self._shown = max(shown, 0.99 * self._shown + 0.01 * shown)
+        if self._shown_us != self._now:
+            self._shown_us = self._now
+            warm = [one for one in self._members.values() if not one.drained and self._warmth(one) >= 1.0]
+            shown = sum(map(self._rate, warm)) / len(warm) if warm else self._shown
+            self._shown = max(shown, 0.99 * self._shown + 0.01 * shown)
         window_s = self._settings.fall_us / 1e6
         rate = max(COLD_FLOOR / self._settings.peers / window_s,
                    COLD_PART * self._settings.overload_factor * warmth * self._shown)
