--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that stay out of CI."""
--- a/oatlink/__init__.py
+++ b/oatlink/__init__.py
@@ -4,3 +4,4 @@
 from oatlink.rules import Router
 
 __all__ = ["Router", "interface"]  # noqa: F405
+__version__ = "0.3.0"
--- /dev/null
+++ b/oatlink/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m oatlink`."""
+
+from oatlink.cli.main import main
+
+main()
--- /dev/null
+++ b/oatlink/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: click commands, nothing else."""
--- /dev/null
+++ b/oatlink/cli/main.py
@@ -0,0 +1,118 @@
+"""`oatlink`: every command. Exit codes: 0 done, 1 a check or a run failed, 2 bad usage or bad input."""
+
+import asyncio
+import json
+import sys
+
+import click
+
+from oatlink import __version__
+from oatlink.gateway.run import bind, on_signals, run
+from oatlink.lab.embedded import Embedded
+from oatlink.settings import Settings, SettingsError, load, settings_hash
+
+
+def _fail(text: str) -> None:
+    click.echo(f"oatlink: {text}", err=True)
+    sys.exit(2)
+
+
+def _settings(path: str) -> Settings:
+    try:
+        return load(path)
+    except SettingsError as error:
+        _fail(str(error))
+        raise
+
+
+@click.group()
+@click.version_option(__version__, prog_name="oatlink")
+def main() -> None:
+    """A database proxy: writes go to primaries, reads are spread over replicas.
+
+    Exit codes: 0 done, 1 a check or run failed, 2 bad usage or input.
+    """
+
+
+@main.command()
+@click.option("--port", default=6380, show_default=True, help="Client port on loopback; 0 takes any free one.")
+@click.option("--banks", default=2, show_default=True, type=click.IntRange(1, 64), help="Stand-in banks.")
+@click.option("--members", default=3, show_default=True, type=click.IntRange(1, 32), help="Boxes a bank.")
+@click.option("--workers", default=1, show_default=True, type=click.IntRange(1, 64), help="Gateway processes.")
+@click.option("--seed", default=1, show_default=True, help="Seed of all that is drawn.")
+@click.option(
+    "--log-level", default="warning", show_default=True, type=click.Choice(["debug", "info", "warning", "error"])
+)
+def up(port: int, banks: int, members: int, workers: int, seed: int, log_level: str) -> None:
+    """Run a gateway on an embedded set of stand-in banks, all on loopback.
+
+    Prints `ready 127.0.0.1:PORT` on a line of its own once it serves; logs go to stderr. SIGINT or SIGTERM ends it
+    within 2 s: what is held gets its answer first.
+    """
+    embedded = Embedded(banks, members, seed)
+    settings = embedded.settings(port, workers, log_level)
+    try:
+        sockets = bind(settings)
+    except OSError as error:
+        _fail(f"127.0.0.1:{port}: cannot listen: {error.strerror}")
+        return
+    where = sockets[0].getsockname()[1]
+    sys.exit(run(settings, sockets, embedded.start, lambda: click.echo(f"ready 127.0.0.1:{where}")))
+
+
+@main.command()
+@click.argument("file", metavar="SETTINGS.jsonnet")
+def gateway(file: str) -> None:
+    """Run a gateway by a settings file, until SIGINT or SIGTERM.
+
+    Prints `ready ADDRESS` once it serves. With `workers` above 1 that many processes share the listeners and
+    nothing else.
+    """
+    settings = _settings(file)
+    try:
+        sockets = bind(settings)
+    except OSError as error:
+        _fail(f"{file}: listen: {error.strerror or error}")
+        return
+    sys.exit(run(settings, sockets, None, lambda: click.echo(f"ready {settings.listen[0]}")))
+
+
+@main.command()
+@click.option("--banks", default=1, show_default=True, type=click.IntRange(1, 64))
+@click.option("--members", default=3, show_default=True, type=click.IntRange(1, 32))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--control-port", default=0, show_default=True, help="Takes fault commands; 0 takes any free port.")
+def bank(banks: int, members: int, seed: int, control_port: int) -> None:
+    """Run stand-in banks alone and print their addresses as JSON, one line.
+
+    The control port speaks RESP: FAULT BOX lag_ms 300, FAULT BOX hang 1, FAULT BOX slow 4, FAULT BOX cut_replies 1,
+    FAULT BOX die_on_write 1, CRASH BOX, START BOX, HANDOVER BANK, BOXES.
+    """
+
+    async def serve() -> None:
+        stop = asyncio.Event()
+        on_signals(stop)
+        embedded = Embedded(banks, members, seed)
+        end = await embedded.start()
+        port = embedded.control(control_port)
+        shown = {
+            "control": f"127.0.0.1:{port}",
+            "banks": {one.name: {box.name: f"127.0.0.1:{box.port}" for box in one.boxes} for one in embedded.banks},
+        }
+        click.echo(json.dumps(shown))
+        await stop.wait()
+        end()
+
+    asyncio.run(serve())
+
+
+@main.command("check-settings")
+@click.argument("file", metavar="SETTINGS.jsonnet")
+def check_settings(file: str) -> None:
+    """Check a settings file: one line with the first mistake and exit 2, or a summary and exit 0."""
+    settings = _settings(file)
+    members = sum(len(one.members) for one in settings.banks)
+    click.echo(
+        f"{file}: good: {len(settings.banks)} banks, {members} members, {len(settings.classes)} classes, "
+        f"hash {settings_hash(settings)}"
+    )
--- /dev/null
+++ b/oatlink/core/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that decides or remembers, without I/O."""
--- /dev/null
+++ b/oatlink/core/messages.py
@@ -0,0 +1,188 @@
+"""What the engine is told (inputs) and what it answers (effects): values only, no logic.
+
+Every nondeterministic thing is an input, so that what went in explains what came out. Times are integer
+microseconds on the gateway's monotonic clock and are handed over beside each input.
+"""
+
+import msgspec
+
+
+class Box(msgspec.Struct, frozen=True, gc=False):
+    """A member as discovery lists it; `bank` is its number in the settings."""
+
+    name: str
+    bank: int
+    address: str
+    hall: str = ""
+    kind: str = ""
+    state: str = "ready"
+    primary: bool = False
+
+
+# ---- Inputs ----
+
+
+class Input(msgspec.Struct, frozen=True, tag=True, gc=False):
+    """Base of all that the engine is told."""
+
+
+class Started(Input, frozen=True, gc=False):
+    """The gateway begins."""
+
+
+class Listed(Input, frozen=True):
+    """The whole roster, as discovery has it now."""
+
+    boxes: tuple[Box, ...]
+
+
+class Opened(Input, frozen=True, gc=False):
+    """A client has connected."""
+
+    client: int
+    peer: str = ""
+
+
+class Closed(Input, frozen=True, gc=False):
+    """A client's connection has ended."""
+
+    client: int
+
+
+class Asked(Input, frozen=True):
+    """A client has sent a command."""
+
+    client: int
+    args: list[bytes]
+
+
+class Broken(Input, frozen=True, gc=False):
+    """A client has sent what the protocol does not allow; `text` is the error due to it."""
+
+    client: int
+    text: str
+
+
+class Ended(Input, frozen=True):
+    """An attempt has ended. `how` is a word of `oatlink.core.outcomes.ENDINGS`; `info` a report behind it."""
+
+    request: int
+    attempt: int
+    box: str
+    how: str
+    took_us: int
+    sent_us: int
+    frames: list[bytes] = []
+    info: bytes = b""
+
+
+class Met(Input, frozen=True, gc=False):
+    """A new connection to a box has been made; `info` is what the box said of itself on it."""
+
+    box: str
+    info: bytes
+    asked_us: int
+
+
+class Probed(Input, frozen=True, gc=False):
+    """A probe has ended; without `info` it failed, `how` says in what way."""
+
+    box: str
+    how: str
+    asked_us: int
+    took_us: int
+    info: bytes = b""
+
+
+class Ticked(Input, frozen=True, gc=False):
+    """The time asked for by `Wake` has come."""
+
+
+class Draining(Input, frozen=True, gc=False):
+    """The gateway is about to stop: nothing new is taken, what is held ends."""
+
+
+# ---- Effects ----
+
+
+class Effect(msgspec.Struct, frozen=True, tag=True, gc=False):
+    """Base of all that the engine asks for."""
+
+
+class Answer(Effect, frozen=True, gc=False):
+    """Bytes for a client; `done` is how many of its commands end with them."""
+
+    client: int
+    data: bytes
+    done: int = 1
+
+
+class Hangup(Effect, frozen=True, gc=False):
+    """Close a client's connection once all that was answered has been written."""
+
+    client: int
+
+
+class Send(Effect, frozen=True, gc=False):
+    """Hand a request to a box and collect `replies` frames.
+
+    `run_id`: the connection must have proven to reach this run of the box. `lease`: above 0, the connection kept
+    for that client alone. `alone`: nothing else may share the connection meanwhile. `ask`: have it report behind.
+    `until_us`: nothing of it may be written later; by then it is unsent.
+    """
+
+    request: int
+    attempt: int
+    box: str
+    payload: bytes
+    replies: int
+    protocol: int
+    run_id: str
+    until_us: int
+    lease: int = 0
+    alone: bool = False
+    ask: bool = False
+
+
+class Release(Effect, frozen=True, gc=False):
+    """A client's own connection is no longer needed."""
+
+    lease: int
+
+
+class Probe(Effect, frozen=True, gc=False):
+    """Ask a box for its report."""
+
+    box: str
+
+
+class DropIdle(Effect, frozen=True, gc=False):
+    """Close the idle connections to a box."""
+
+    box: str
+
+
+class Wake(Effect, frozen=True, gc=False):
+    """Ask for a `Ticked` at a time; replaces the one asked for before."""
+
+    at_us: int
+
+
+class Note(Effect, frozen=True, gc=False):
+    """A line for the people on call."""
+
+    event: str
+    text: str = ""
+
+
+class Counted(Effect, frozen=True, gc=False):
+    """A request's final answer, for the figures: its class, how it ended and what it took in microseconds."""
+
+    class_name: str
+    outcome: str
+    took_us: int
+    box: str = ""
+
+
+AnyInput = Started | Listed | Opened | Closed | Asked | Broken | Ended | Met | Probed | Ticked | Draining
+AnyEffect = Answer | Hangup | Send | Release | Probe | DropIdle | Wake | Note | Counted
--- /dev/null
+++ b/oatlink/core/sessions.py
@@ -0,0 +1,146 @@
+"""A client's session: order of its commands, its transaction, what it has said of itself. No I/O.
+
+Order. Answers leave in the order of the commands. A command starts at once unless an earlier unfinished one
+of the same client touches the same hash slot and one of the two writes; then it waits for it. Between slots no
+order is promised, as in a cluster; a transaction is one command. So a client reads its own pipelined writes,
+and many members work for one connection.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from oatlink.protocols.resp import Error, encode
+from oatlink.settings.model import RequestClass
+
+
+@dataclass(slots=True)
+class Place:
+    """A command's place in the row of answers."""
+
+    answer: bytes | None = None
+    hangup: bool = False
+
+
+@dataclass(slots=True)
+class Ask:
+    """A command on its way: what the client wants, where it stands."""
+
+    id: int
+    client: int
+    place: Place
+    rule: RequestClass
+    group: int
+    slots: list[int]
+    writes: bool
+    payload: bytes
+    replies: int
+    arrived_us: int
+    protocol: int
+    transaction: bool = False
+    executes: bool = False
+    lease: int = 0
+    alone: bool = False
+    wait_replicas: int = 0
+    started: bool = False
+    attempts: int = 0
+    first_us: int = 0  # when the first attempt was handed over
+    open: dict[int, tuple[int, str, int]] = field(default_factory=dict)  # attempt: member, box, when
+
+
+@dataclass(slots=True)
+class Session:
+    """One client connection."""
+
+    client: int
+    protocol: int = 2
+    name: str = ""
+    user: str = ""
+    peer: str = ""
+    since_us: int = 0
+    places: deque[Place] = field(default_factory=deque)
+    waiting: list[Ask] = field(default_factory=list)
+    busy: dict[int, list[int]] = field(default_factory=dict)  # slot: unfinished reads, writes
+    queued: list[tuple[list[bytes], bool]] | None = None  # of the open MULTI: words, whether they write
+    queued_bytes: int = 0
+    queued_slots: list[int] = field(default_factory=list)
+    spoilt: bool = False
+    watching: list[int] = field(default_factory=list)  # slots watched
+    lease: int = 0
+    lease_box: str = ""
+    lease_lost: bool = False
+    answered: int = 0
+    closing: bool = False
+
+    def may_start(self, ask: Ask) -> bool:
+        """Whether nothing unfinished stands before a new command."""
+        for slot in ask.slots:
+            counts = self.busy.get(slot)
+            if counts is not None and (counts[1] or (ask.writes and counts[0])):
+                return False
+        return True
+
+    def enter(self, ask: Ask) -> None:
+        """Count a command as unfinished."""
+        for slot in ask.slots:
+            self.busy.setdefault(slot, [0, 0])[ask.writes] += 1
+
+    def leave(self, ask: Ask) -> None:
+        """A command has ended."""
+        for slot in ask.slots:
+            counts = self.busy[slot]
+            counts[ask.writes] -= 1
+            if not counts[0] and not counts[1]:
+                del self.busy[slot]
+
+    def next_to_start(self) -> Iterator[Ask]:
+        """The waiting commands that nothing unfinished before them holds back any longer, taken out."""
+        if not self.waiting:
+            return
+        unfinished = {slot: list(counts) for slot, counts in self.busy.items()}
+        for ask in self.waiting:
+            for slot in ask.slots:
+                unfinished[slot][ask.writes] -= 1
+        still: list[Ask] = []
+        ready: list[Ask] = []
+        for ask in self.waiting:
+            held = any(unfinished[slot][1] or (ask.writes and unfinished[slot][0]) for slot in ask.slots)
+            (still if held else ready).append(ask)
+            for slot in ask.slots:
+                unfinished[slot][ask.writes] += 1
+        self.waiting = still
+        yield from ready
+
+    def take_answers(self) -> tuple[list[bytes], int, bool]:
+        """The answers that may leave now, how many commands they end, and whether the connection ends then."""
+        out: list[bytes] = []
+        done = 0
+        while self.places and self.places[0].answer is not None:
+            place = self.places.popleft()
+            out.append(place.answer or b"")
+            done += 1
+            if place.hangup:
+                self.places.clear()
+                return out, done, True
+        return out, done, False
+
+    def forget_transaction(self) -> None:
+        """MULTI has ended."""
+        self.queued, self.queued_bytes, self.spoilt = None, 0, False
+        self.queued_slots = []
+
+
+def refusal(retry_after_us: int) -> bytes:
+    """The final answer of a refused request: nothing ran, and when to come again (`TRYAGAIN`, cluster spec)."""
+    return encode(Error(b"TRYAGAIN refused, nothing was run; retry after %d ms" % -(-retry_after_us // 1000)))
+
+
+def failure(writes: bool) -> bytes:
+    """The final answer of a failed request."""
+    return encode(
+        Error(
+            b"ERR failed: no final answer from the bank; the command may have run"
+            if writes
+            else b"ERR failed: no final answer from the bank in time"
+        )
+    )
--- /dev/null
+++ b/oatlink/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Where the roster comes from."""
--- /dev/null
+++ b/oatlink/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The shell around the engine: sockets and the clock."""
--- /dev/null
+++ b/oatlink/gateway/metrics.py
@@ -0,0 +1,73 @@
+"""Figures of a gateway: counters for Prometheus, latency by class and outcome in HDR histograms."""
+
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from oatlink.core.messages import Counted
+
+LONGEST_US = 3_600_000_000
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics(Collector):
+    """Counts final answers; a gateway process has one."""
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], int] = {}
+        self._times: dict[tuple[str, str], HdrHistogram] = {}
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+
+    def count(self, one: Counted) -> None:
+        """Take in a final answer."""
+        key = (one.class_name, one.outcome)
+        self._counts[key] = self._counts.get(key, 0) + 1
+        times = self._times.get(key)
+        if times is None:
+            times = self._times[key] = HdrHistogram(1, LONGEST_US, 2)
+        times.record_value(max(1, min(one.took_us, LONGEST_US)))
+
+    def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
+        """What Prometheus is shown."""
+        counter = CounterMetricFamily("oatlink_requests", "Final answers", labels=["class", "outcome"])
+        for (name, outcome), count in sorted(self._counts.items()):
+            counter.add_metric([name, outcome], count)
+        yield counter
+        for quantile in QUANTILES:
+            name = f"oatlink_latency_p{str(quantile).replace('.0', '').replace('.', '_')}_seconds"
+            family = GaugeMetricFamily(name, "Latency at the client's side", labels=["class", "outcome"])
+            for (class_name, outcome), times in sorted(self._times.items()):
+                family.add_metric([class_name, outcome], times.get_value_at_percentile(quantile) / 1e6)
+            yield family
+
+    def text(self) -> bytes:
+        """The exposition format."""
+        return generate_latest(self.registry)
+
+
+class _Shown(RequestHandler):
+    def initialize(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(self.metrics.text())
+
+
+class _Healthy(RequestHandler):
+    def get(self) -> None:
+        self.write("ok\n")
+
+
+def serve(metrics: Metrics, address: str) -> HTTPServer:
+    """Serve /metrics and /health on host:port."""
+    host, _, port = address.rpartition(":")
+    server = HTTPServer(Application([("/metrics", _Shown, {"metrics": metrics}), ("/health", _Healthy)]))
+    server.listen(int(port), host.strip("[]"))
+    return server
--- /dev/null
+++ b/oatlink/gateway/run.py
@@ -0,0 +1,155 @@
+"""Runs gateways until a signal: one in this process, or workers that share the port and nothing else."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from oatlink.core import messages as m
+from oatlink.discovery.file import RosterFile, follow
+from oatlink.gateway.metrics import serve
+from oatlink.gateway.notes import Notes
+from oatlink.gateway.server import Gateway, boxes_of, listen
+from oatlink.settings import Settings
+
+Prepare = Callable[[], Awaitable[Callable[[], None]]]
+"""Starts what a gateway needs beside it; what it returns ends that."""
+
+
+def as_worker(settings: Settings, number: int) -> Settings:
+    """The settings of one worker: a gateway of its own, with a seed of its own, among more of them."""
+    return msgspec.structs.replace(
+        settings, seed=settings.seed + number, peers=settings.peers * settings.workers, workers=1
+    )
+
+
+def boxes_from(settings: Settings, roster: RosterFile) -> tuple[m.Box, ...]:
+    """The boxes of a roster file; banks that the settings do not know are passed over."""
+    numbers = {bank.name: at for at, bank in enumerate(settings.banks)}
+    known = [bank for bank in roster.banks if bank.name in numbers]
+    boxes = boxes_of(msgspec.structs.replace(settings, banks=tuple(known)))
+    return tuple(msgspec.structs.replace(box, bank=numbers[known[box.bank].name]) for box in boxes)
+
+
+async def serve_until(
+    settings: Settings, sockets: list[socket.socket], stop: asyncio.Event, ready: Callable[[], None], number: int = 0
+) -> None:
+    """One gateway on bound sockets, until `stop`."""
+    notes = Notes(settings.logs, worker=number)
+    gateway = Gateway(settings, notes)
+    gateway.start(sockets)
+    follower = None
+    if settings.roster_file:
+
+        def told(roster: RosterFile) -> None:
+            gateway.list(boxes_from(settings, roster))
+
+        follower = asyncio.ensure_future(follow(settings.roster_file, told, lambda text: notes.note("roster", text)))
+    shown = serve(gateway.metrics, settings.metrics_listen) if settings.metrics_listen and number == 0 else None
+    notes.note("serving", ", ".join(settings.listen))
+    ready()
+    await stop.wait()
+    if follower is not None:
+        follower.cancel()
+    if shown is not None:
+        shown.stop()
+    await gateway.stop()
+    notes.note("stopped")
+
+
+def on_signals(stop: asyncio.Event) -> None:
+    """SIGINT and SIGTERM ask for an orderly end."""
+    loop = asyncio.get_running_loop()
+    for one in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(one, stop.set)
+
+
+def bind(settings: Settings) -> list[socket.socket]:
+    """All listeners of the settings. Raises `OSError`."""
+    return [one for address in settings.listen for one in listen(address)]
+
+
+def run(
+    settings: Settings,
+    sockets: list[socket.socket],
+    prepare: Prepare | None = None,
+    announce: Callable[[], None] = lambda: None,
+) -> int:
+    """Serve until a signal; returns the exit code. With several workers this process only keeps them."""
+    if settings.workers == 1:
+        return asyncio.run(_alone(settings, sockets, prepare, announce))
+    reader, writer = os.pipe()
+    children = []
+    for number in range(settings.workers):
+        child = os.fork()
+        if child == 0:
+            os.close(reader)
+            code = 1
+            try:
+                code = asyncio.run(_worker(as_worker(settings, number), sockets, number, writer))
+            finally:
+                sys.stderr.flush()
+                os._exit(code)
+        children.append(child)
+    os.close(writer)
+    for one in sockets:
+        one.close()
+    return asyncio.run(_keeper(children, reader, prepare, announce))
+
+
+async def _alone(
+    settings: Settings, sockets: list[socket.socket], prepare: Prepare | None, announce: Callable[[], None]
+) -> int:
+    stop = asyncio.Event()
+    on_signals(stop)
+    end = await prepare() if prepare is not None else None
+    try:
+        await serve_until(settings, sockets, stop, announce)
+    finally:
+        if end is not None:
+            end()
+    return 0
+
+
+async def _worker(settings: Settings, sockets: list[socket.socket], number: int, writer: int) -> int:
+    stop = asyncio.Event()
+    on_signals(stop)
+
+    def tell() -> None:
+        os.write(writer, b"r")
+
+    await serve_until(settings, sockets, stop, tell, number)
+    return 0
+
+
+async def _keeper(children: list[int], reader: int, prepare: Prepare | None, announce: Callable[[], None]) -> int:
+    """Wait for the workers; one that dies unasked ends the others, and the exit code says so."""
+    stop = asyncio.Event()
+    on_signals(stop)
+    loop = asyncio.get_running_loop()
+    end = await prepare() if prepare is not None else None
+    got = 0
+    while got < len(children):
+        data = await loop.run_in_executor(None, os.read, reader, len(children))
+        if not data:
+            break
+        got += len(data)
+    if got == len(children):
+        announce()
+    waiting: set[asyncio.Future[object]] = {loop.run_in_executor(None, os.waitpid, child, 0) for child in children}
+    asked: asyncio.Future[object] = asyncio.ensure_future(stop.wait())
+    done, _ = await asyncio.wait({*waiting, asked}, return_when=asyncio.FIRST_COMPLETED)
+    code = 0 if asked in done else 1
+    for child in children:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(child, signal.SIGTERM)
+    await asyncio.wait(waiting, timeout=5)
+    asked.cancel()
+    if end is not None:
+        end()
+    return code
--- /dev/null
+++ b/oatlink/gateway/server.py
@@ -0,0 +1,297 @@
+"""The gateway: client listeners, the engine, the links to boxes, and the clock. It carries out and decides nothing."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections import deque
+
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets, bind_unix_socket
+
+from oatlink.core import messages as m
+from oatlink.core.engine import Engine
+from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn
+from oatlink.gateway.metrics import Metrics
+from oatlink.gateway.notes import Notes
+from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
+from oatlink.settings.model import Settings
+
+HIGH_WATER = 262_144  # bytes not yet taken by a client above which no more is read from it
+
+
+def now_us() -> int:
+    """The gateway's clock: monotonic microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+def boxes_of(settings: Settings) -> tuple[m.Box, ...]:
+    """The roster that the settings name."""
+    return tuple(
+        m.Box(one.name, number, one.address, one.hall, one.kind, one.state, one.primary)
+        for number, bank in enumerate(settings.banks)
+        for one in bank.members
+    )
+
+
+def listen(address: str, reuse_port: bool = False) -> list[socket.socket]:
+    """Bound sockets for host:port (port 0: any free one) or unix:PATH. Raises `OSError`."""
+    if address.startswith("unix:"):
+        return [bind_unix_socket(address[5:], mode=0o600)]
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host.strip("[]"), backlog=1024, reuse_port=reuse_port)
+
+
+class Client:
+    """One client connection."""
+
+    def __init__(self, number: int, stream: IOStream) -> None:
+        self.number, self.stream = number, stream
+        self.unanswered = 0
+        self.out: list[bytes] = []
+        self.hangup = False
+        self.room: asyncio.Future[None] | None = None
+        self.written: asyncio.Future[None] | None = None
+
+
+class Gateway(Shell):
+    """One gateway in one process."""
+
+    def __init__(self, settings: Settings, notes: Notes | None = None) -> None:
+        self.settings = settings
+        self.now = now_us
+        self.notes = notes or Notes(settings.logs)
+        self.metrics = Metrics()
+        self.engine = Engine(settings, now_us())
+        limits = settings.limits
+        self._limits = Limits(limits.bulk_bytes, limits.message_bytes, limits.items)
+        self._clients: dict[int, Client] = {}
+        self._last_client = 0
+        self._links: dict[str, Link] = {}
+        self._inputs: deque[m.AnyInput] = deque()
+        self._running = False
+        self._turn = Turn(self._flush)
+        self._dirty_links: list[Connection] = []
+        self._dirty_clients: list[Client] = []
+        self._wake: object | None = None
+        self._removers: list[object] = []
+        self._sockets: list[socket.socket] = []
+        self._sweeper = PeriodicCallback(self._sweep, 1000)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.stopping = False
+
+    # ---- Life ----
+
+    def start(self, sockets: list[socket.socket]) -> None:
+        """Serve on bound sockets, with the roster of the settings."""
+        self._sockets = sockets
+        self.feed(m.Started())
+        self.list(boxes_of(self.settings))
+        for one in sockets:
+            self._removers.append(add_accept_handler(one, self._accept))
+        self._sweeper.start()
+
+    def list(self, boxes: tuple[m.Box, ...]) -> None:
+        """Discovery has spoken."""
+        for box in boxes:
+            link = self._links.get(box.name)
+            if link is not None and link.address != box.address:
+                link.close()
+                link = None
+            if link is None:
+                self._links[box.name] = Link(box.name, box.address, self.settings.links, self._limits, self)
+        self.feed(m.Listed(boxes))
+        named = {box.name for box in boxes}
+        for name in [one for one in self._links if one not in named]:
+            self._links.pop(name).close()
+
+    async def stop(self) -> None:
+        """Take nothing new, let what is held end within `drain_ms`, close everything."""
+        if self.stopping:
+            return
+        self.stopping = True
+        for remove in self._removers:
+            remove()  # type: ignore[operator]
+        for one in self._sockets:
+            one.close()
+        self.feed(m.Draining())
+        end = time.monotonic() + self.settings.drain_ms / 1000
+        while not self.engine.idle and time.monotonic() < end:
+            await asyncio.sleep(0.01)
+        self._sweeper.stop()
+        for client in list(self._clients.values()):
+            client.stream.close()
+        for link in self._links.values():
+            link.close()
+        if self._wake is not None:
+            IOLoop.current().remove_timeout(self._wake)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
+    def _sweep(self) -> None:
+        with self.turn():
+            for link in self._links.values():
+                link.sweep()
+
+    # ---- The engine ----
+
+    def turn(self) -> Turn:
+        """See `Shell.turn`."""
+        return self._turn
+
+    def dirty(self, connection: Connection) -> None:
+        """See `Shell.dirty`."""
+        self._dirty_links.append(connection)
+
+    def feed(self, given: m.AnyInput) -> None:
+        """Hand the engine an input and carry out what it answers; inputs that arise meanwhile follow in order."""
+        self._inputs.append(given)
+        if self._running:
+            return
+        self._running = True
+        with self._turn:
+            try:
+                while self._inputs:
+                    for effect in self.engine.handle(self._inputs.popleft(), now_us()):
+                        self._do(effect)
+            finally:
+                self._running = False
+
+    def _do(self, effect: m.AnyEffect) -> None:
+        if isinstance(effect, m.Send):
+            link = self._links.get(effect.box)
+            if link is None:
+                self.feed(m.Ended(effect.request, effect.attempt, effect.box, "refused", 0, now_us()))
+            else:
+                link.send(effect)
+        elif isinstance(effect, m.Answer):
+            self._answer(effect)
+        elif isinstance(effect, m.Counted):
+            self.metrics.count(effect)
+        elif isinstance(effect, m.Wake):
+            loop = IOLoop.current()
+            if self._wake is not None:
+                loop.remove_timeout(self._wake)
+            self._wake = loop.call_later(max(0.0, (effect.at_us - now_us()) / 1e6), self._woken)
+        elif isinstance(effect, m.Probe):
+            if effect.box in self._links:
+                self._links[effect.box].probe()
+        elif isinstance(effect, m.DropIdle):
+            if effect.box in self._links:
+                self._links[effect.box].drop_idle()
+        elif isinstance(effect, m.Release):
+            for link in self._links.values():
+                link.release(effect.lease)
+        elif isinstance(effect, m.Hangup):
+            client = self._clients.get(effect.client)
+            if client is not None:
+                client.hangup = True
+                self._dirty_clients.append(client)
+        else:
+            self.notes.note(effect.event, effect.text)
+
+    def _woken(self) -> None:
+        self._wake = None
+        self.feed(m.Ticked())
+
+    def _flush(self) -> None:
+        while self._dirty_links or self._dirty_clients:
+            links, self._dirty_links = self._dirty_links, []
+            for connection in links:
+                connection.flush()
+            clients, self._dirty_clients = self._dirty_clients, []
+            for client in clients:
+                self._write(client)
+
+    # ---- Clients ----
+
+    def _accept(self, sock: socket.socket, address: object) -> None:
+        stream = IOStream(sock, max_buffer_size=1 << 30, max_write_buffer_size=self.settings.limits.client_output_bytes)
+        if len(self._clients) >= self.settings.limits.clients:
+            stream.write(error("ERR max number of clients reached")).add_done_callback(lambda _: stream.close())
+            return
+        if sock.family != socket.AF_UNIX:
+            stream.set_nodelay(True)
+        self._last_client += 1
+        client = Client(self._last_client, stream)
+        self._clients[client.number] = client
+        peer = f"{address[0]}:{address[1]}" if isinstance(address, tuple) else "unix"
+        self.feed(m.Opened(client.number, peer))
+        task = asyncio.ensure_future(self._serve(client))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, client: Client) -> None:
+        """Read a client's commands until it leaves, breaks the protocol or does not take its answers."""
+        reader, stream = CommandReader(self._limits), client.stream
+        most = self.settings.limits.client_pipeline
+        patience_s = self.settings.limits.client_write_timeout_ms / 1000
+        try:
+            while True:
+                data = await stream.read_bytes(CHUNK, partial=True)
+                reader.feed(data)
+                while True:
+                    with self._turn:
+                        while client.unanswered < most and (args := reader.take()) is not None:
+                            client.unanswered += 1
+                            self.feed(m.Asked(client.number, args))
+                        full = client.unanswered >= most
+                    if client.written is not None and not client.written.done():
+                        # It does not take its answers: nothing more is read from it until it does.
+                        async with asyncio.timeout(patience_s):
+                            await asyncio.shield(client.written)
+                    if not full:
+                        break
+                    if client.unanswered >= most:
+                        client.room = asyncio.get_running_loop().create_future()
+                        await client.room
+        except ProtocolError as problem:
+            self.feed(m.Broken(client.number, str(problem)))
+            with contextlib.suppress(StreamClosedError, TimeoutError):
+                async with asyncio.timeout(patience_s):  # the answers before the error are still owed
+                    while not stream.closed():
+                        await stream.read_bytes(CHUNK, partial=True)
+        except (StreamClosedError, TimeoutError):
+            pass
+        finally:
+            stream.close()
+            del self._clients[client.number]
+            self.feed(m.Closed(client.number))
+
+    def _answer(self, effect: m.Answer) -> None:
+        client = self._clients.get(effect.client)
+        if client is None:
+            return
+        client.unanswered -= effect.done
+        if not client.out:
+            self._dirty_clients.append(client)
+        client.out.append(effect.data)
+        if client.room is not None and client.unanswered < self.settings.limits.client_pipeline:
+            if not client.room.done():
+                client.room.set_result(None)
+            client.room = None
+
+    def _write(self, client: Client) -> None:
+        stream = client.stream
+        if client.out and not stream.closed():
+            data, client.out = (client.out[0] if len(client.out) == 1 else b"".join(client.out)), []
+            try:
+                written = stream.write(data)
+            except (StreamBufferFullError, StreamClosedError):
+                self.notes.note("client", f"{client.number} cut off: it does not take its answers")
+                stream.close()
+                return
+            written.add_done_callback(_swallow)
+            client.written = written
+        if client.hangup and not stream.closed():
+            if client.written is None or client.written.done():
+                stream.close()
+            else:
+                client.written.add_done_callback(lambda _: stream.close())
+
+
+def _swallow(future: "asyncio.Future[None]") -> None:
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/oatlink/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Planned days of trouble on loopback."""
--- /dev/null
+++ b/oatlink/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats, without I/O."""
--- /dev/null
+++ b/oatlink/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Servers of ours, made from public specifications; never import the core."""
--- /dev/null
+++ b/oatlink/standins/box.py
@@ -0,0 +1,702 @@
+"""A stand-in for one db box: RESP, a command log with replication offsets, replication, and faults on demand.
+
+Made from the public specification: PSYNC, REPLCONF, ROLE, INFO, WAIT, REPLICAOF (redis.io: replication, and the
+commands' pages). Two things differ and are stated: a full resynchronisation sends the data as commands instead of
+an RDB file, and the window for repeats of `XADD ... IDMP` is set for the whole box, in milliseconds.
+
+The log is truthful: an offset is raised only after the command that it counts has been applied, so a box never
+claims an offset whose writes it does not hold. Work, cores, coldness, lag and every fault are set from outside.
+"""
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets
+
+from oatlink.protocols.resp import (
+    OK,
+    QUEUED,
+    Array,
+    CommandReader,
+    Error,
+    Map,
+    Null,
+    ProtocolError,
+    ReplyReader,
+    bulk,
+    command,
+    encode,
+    encode_command,
+    error,
+)
+from oatlink.standins.store import Store
+
+BACKLOG = 4 * 1024 * 1024  # bytes of the stream kept for partial resynchronisation
+READS = frozenset(
+    b"get mget strlen getrange exists type keys scan dbsize ttl pttl hget hmget hgetall hkeys hvals hlen hexists "
+    b"llen lindex lrange smembers sismember scard zcard zscore zrange xlen xrange xrevrange".split()
+)
+Tap = Callable[[str, int, str, bytes], None]
+"""Told of every byte on a box's sockets: box, connection, `in` or `out`, data."""
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a box, all of it changeable while it runs."""
+
+    lag_ms: float = 0.0  # a replica applies the log so much later than it got it
+    hang: bool = False  # takes connections and bytes, answers nothing
+    slow: float = 1.0  # times the work of each command
+    cut_replies: int = 0  # so many next replies break off in the middle and the connection is reset
+    die_on_write: bool = False  # the next write is applied, not shipped, not answered; then the box is gone
+
+
+@dataclass(slots=True)
+class Work:
+    """What a command costs and what the box can do; zero work is answered at once."""
+
+    read_us: int = 0
+    write_us: int = 0
+    cores: int = 4
+    cold_share: float = 1.0
+    warm_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Follower:
+    """A replica as its primary sees it."""
+
+    peer: "Peer"
+    acked: int = 0
+
+
+class Peer:
+    """A connection to the box."""
+
+    def __init__(self, number: int, stream: IOStream) -> None:
+        self.number, self.stream = number, stream
+        self.protocol = 2
+        self.queued: list[list[bytes]] | None = None
+        self.spoilt = False
+        self.watched: dict[bytes, int] = {}
+        self.follower: Follower | None = None
+        self.turns: deque[list[bytes]] = deque()
+        self.working = False
+
+
+@dataclass(slots=True)
+class Log:
+    """The replication stream's tail: `start` is the offset of its first byte."""
+
+    start: int = 0
+    data: bytearray = field(default_factory=bytearray)
+
+    def add(self, data: bytes) -> None:
+        """Append; only a bounded tail is kept."""
+        self.data += data
+        if len(self.data) > 2 * BACKLOG:
+            gone = len(self.data) - BACKLOG
+            del self.data[:gone]
+            self.start += gone
+
+    def since(self, offset: int) -> bytes | None:
+        """All after an offset, or None where it is not kept."""
+        at = offset - self.start
+        return bytes(self.data[at:]) if 0 <= at <= len(self.data) else None
+
+
+class Box:
+    """One stand-in server on loopback."""
+
+    def __init__(
+        self, name: str, *, seed: int = 1, work: Work | None = None, window_ms: int = 2_000, tap: Tap | None = None
+    ) -> None:
+        self.name = name
+        self.work = work or Work()
+        self.faults = Faults()
+        self.tap = tap
+        self.store = Store(window_ms)
+        self.port = 0
+        self.offset = 0
+        self.replid2, self.second_offset = "", -1
+        self.primary: Box | tuple[str, int] | None = None
+        self.running = False
+        self.link_up = False
+        self.executed = 0
+        self._random = random.Random(f"{seed}/{name}")
+        self.replid = self._id()
+        self.run_id = self._id()
+        self.log = Log()
+        self._peers: dict[int, Peer] = {}
+        self._last_peer = 0
+        self._socket: socket.socket | None = None
+        self._remove: Callable[[], None] | None = None
+        self._follow: asyncio.Task[None] | None = None
+        self._free_at: list[float] = []
+        self._started_s = 0.0
+        self._waiters: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _id(self) -> str:
+        return f"{self._random.getrandbits(160):040x}"
+
+    # ---- Life ----
+
+    def start(self, port: int = 0) -> int:
+        """Listen on loopback; returns the port. The data are as they were when it last ran."""
+        assert not self.running
+        self._socket = bind_sockets(port or self.port, "127.0.0.1", family=socket.AF_INET)[0]
+        self.port = self._socket.getsockname()[1]
+        self._remove = add_accept_handler(self._socket, self._accept)
+        self.running, self.run_id = True, self._id()
+        self._started_s = time.monotonic()
+        self._free_at = [0.0] * self.work.cores
+        if self.primary is not None:
+            self.follow(self.primary)
+        return self.port
+
+    def stop(self) -> None:
+        """Die at once: connections are reset, nothing more is shipped or answered."""
+        if not self.running:
+            return
+        self.running = False
+        if self._remove is not None:
+            self._remove()
+        if self._socket is not None:
+            self._socket.close()
+        if self._follow is not None:
+            self._follow.cancel()
+        for peer in list(self._peers.values()):
+            self._end(peer, reset=True)
+        for task in list(self._tasks):
+            task.cancel()
+        self._waiters.clear()
+
+    def capacity(self) -> float:
+        """Commands a second that it can do now, by the work of a read."""
+        work = self.work.read_us * self.faults.slow / 1e6
+        return self.work.cores * self._warmth() / work if work else float("inf")
+
+    def _warmth(self) -> float:
+        if not self.work.warm_s:
+            return 1.0
+        age = time.monotonic() - self._started_s
+        return min(1.0, self.work.cold_share + (1 - self.work.cold_share) * age / self.work.warm_s)
+
+    # ---- Replication: this box's part ----
+
+    def follow(self, primary: "Box | tuple[str, int]") -> None:
+        """Become a replica (REPLICAOF). A write after this is refused."""
+        self.primary = primary
+        for peer in list(self._peers.values()):
+            if peer.follower is not None:
+                self._end(peer, reset=True)
+        for _, _, future in self._waiters:
+            if not future.done():
+                future.set_exception(ConnectionError("UNBLOCKED"))
+        self._waiters.clear()
+        if self._follow is not None:
+            self._follow.cancel()
+        if self.running:
+            self._follow = asyncio.ensure_future(self._replicate())
+
+    def promote(self) -> None:
+        """Become primary (REPLICAOF NO ONE): a new history that shares the old one up to here."""
+        if self._follow is not None:
+            self._follow.cancel()
+            self._follow = None
+        self.primary = None
+        self.replid2, self.second_offset = self.replid, self.offset + 1
+        self.replid = self._id()
+        self.link_up = False
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether it takes writes."""
+        return self.primary is None
+
+    async def _replicate(self) -> None:
+        """Follow the primary until cancelled, dialling again whenever the link ends."""
+        while True:
+            try:
+                await self._one_link()
+            except (StreamClosedError, ProtocolError, OSError):
+                pass
+            finally:
+                self.link_up = False
+            await asyncio.sleep(0.05)
+
+    async def _one_link(self) -> None:
+        primary = self.primary
+        assert primary is not None
+        where = ("127.0.0.1", primary.port) if isinstance(primary, Box) else primary
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=1 << 30)
+        try:
+            async with asyncio.timeout(1):
+                await stream.connect(where)
+            stream.set_nodelay(True)
+            await self._sync(stream)
+        finally:
+            stream.close()
+
+    async def _sync(self, stream: IOStream) -> None:
+        reader = ReplyReader()
+        for words in (
+            ("PING",),
+            ("REPLCONF", "listening-port", self.port),
+            ("REPLCONF", "capa", "eof", "capa", "psync2"),
+        ):
+            await stream.write(command(*words))
+            await stream.read_until(b"\r\n", max_bytes=512)
+        await stream.write(
+            command("PSYNC", self.replid if self.offset else "?", self.offset + 1 if self.offset else -1)
+        )
+        line = (await stream.read_until(b"\r\n", max_bytes=512))[:-2].split()
+        if line[0] == b"+FULLRESYNC":
+            head = await stream.read_until(b"\r\n", max_bytes=64)
+            payload = await stream.read_bytes(int(head[1:-2]))
+            self.store.__init__(self.store.window_ms)  # type: ignore[misc]
+            commands = CommandReader()
+            commands.feed(payload)
+            while (args := commands.take()) is not None:
+                self.store.execute(args, _ms())
+            self.replid, self.offset = line[1].decode(), int(line[2])
+            self.replid2, self.second_offset = "", -1
+            self.log = Log(self.offset)
+        elif line[0] == b"+CONTINUE":
+            if len(line) > 1 and line[1].decode() != self.replid:
+                self.replid2, self.second_offset = self.replid, self.offset + 1
+                self.replid = line[1].decode()
+        else:
+            raise ProtocolError("no synchronisation")
+        del reader
+        self.link_up = True
+        await stream.write(self._ack())
+        queue: deque[tuple[float, list[bytes], int]] = deque()
+        arrived = asyncio.Event()
+        applier = asyncio.ensure_future(self._apply(queue, arrived, stream))
+        beat = asyncio.ensure_future(self._beat(stream))
+        commands = CommandReader()
+        try:
+            while True:
+                commands.feed(await stream.read_bytes(65_536, partial=True))
+                while (args := commands.take()) is not None:
+                    # Bytes are counted as the primary counts them: the encoding is one and the same.
+                    queue.append((time.monotonic(), args, len(encode_command(args))))
+                    arrived.set()
+        finally:
+            applier.cancel()
+            beat.cancel()
+
+    async def _apply(
+        self, queue: deque[tuple[float, list[bytes], int]], arrived: asyncio.Event, stream: IOStream
+    ) -> None:
+        """Apply the log with one thread, each command at the earliest `lag_ms` after it came."""
+        while True:
+            if not queue:
+                arrived.clear()
+                await arrived.wait()
+            came, args, size = queue[0]
+            wait = came + self.faults.lag_ms / 1000 - time.monotonic()
+            if wait > 0:
+                await asyncio.sleep(min(wait, 0.05))  # the lag may be changed meanwhile
+                continue
+            if self.faults.hang:
+                await asyncio.sleep(0.01)
+                continue
+            queue.popleft()
+            self._apply_one(args, size)
+            if args[0] == b"REPLCONF" and not stream.closed():
+                stream.write(self._ack()).add_done_callback(_swallow)
+
+    def _apply_one(self, args: list[bytes], size: int) -> None:
+        if args[0] not in (b"REPLCONF", b"PING"):
+            self.store.execute(args, _ms())
+        data = encode_command(args)
+        assert len(data) == size
+        self.offset += size
+        self.log.add(data)
+        self._ship(data)
+
+    async def _beat(self, stream: IOStream) -> None:
+        while not stream.closed():
+            await asyncio.sleep(0.2)
+            if not self.faults.hang and not stream.closed():
+                stream.write(self._ack()).add_done_callback(_swallow)
+
+    def _ack(self) -> bytes:
+        return command("REPLCONF", "ACK", self.offset)
+
+    # ---- Replication: what others take from it ----
+
+    def _propagate(self, commands: list[list[bytes]]) -> None:
+        for args in commands:
+            data = encode_command(args)
+            self.offset += len(data)
+            self.log.add(data)
+            self._ship(data)
+
+    def _ship(self, data: bytes) -> None:
+        for peer in list(self._peers.values()):
+            if peer.follower is not None:
+                self._write(peer, data)
+
+    def _psync(self, peer: Peer, args: list[bytes]) -> None:
+        """Partial where the history is shared and the bytes are still kept, else full."""
+        replid, offset = args[1].decode("latin1"), int(args[2])
+        peer.follower = Follower(peer)
+        shared = replid == self.replid or (replid == self.replid2 and offset <= self.second_offset)
+        tail = self.log.since(offset - 1) if shared and offset > 0 else None
+        if tail is not None:
+            self._write(peer, f"+CONTINUE {self.replid}\r\n".encode() + tail)
+            peer.follower.acked = offset - 1
+            return
+        payload = b"".join(map(encode_command, self.store.dump()))
+        self._write(peer, f"+FULLRESYNC {self.replid} {self.offset}\r\n${len(payload)}\r\n".encode() + payload)
+
+    async def _wait(self, peer: Peer, wanted: int, limit_ms: int) -> bytes:
+        """WAIT: how many replicas have acknowledged this connection's writes, waiting for that many."""
+        target = self.offset
+        if self._acked(target) < wanted and any(one.follower for one in self._peers.values()):
+            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiters.append((target, wanted, future))
+            self._propagate([[b"REPLCONF", b"GETACK", b"*"]])
+            try:
+                async with asyncio.timeout(limit_ms / 1000 if limit_ms else None):
+                    await future
+            except TimeoutError:
+                pass
+            except ConnectionError:
+                return error("UNBLOCKED force unblock from blocking operation, instance state changed")
+        return encode(self._acked(target))
+
+    def _acked(self, target: int) -> int:
+        return sum(1 for one in self._peers.values() if one.follower is not None and one.follower.acked >= target)
+
+    def _on_ack(self, peer: Peer, offset: int) -> None:
+        if peer.follower is None:
+            return
+        peer.follower.acked = max(peer.follower.acked, offset)
+        for entry in list(self._waiters):
+            target, wanted, future = entry
+            if self._acked(target) >= wanted or future.done():
+                self._waiters.remove(entry)
+                if not future.done():
+                    future.set_result(None)
+
+    # ---- Connections ----
+
+    def _accept(self, sock: socket.socket, _: object) -> None:
+        self._last_peer += 1
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        peer = Peer(self._last_peer, IOStream(sock, max_buffer_size=1 << 30))
+        self._peers[peer.number] = peer
+        self._spawn(self._serve(peer))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _end(self, peer: Peer, reset: bool = False) -> None:
+        self._peers.pop(peer.number, None)
+        if not peer.stream.closed():
+            if reset:
+                with contextlib.suppress(OSError):
+                    peer.stream.socket.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                    )
+            peer.stream.close()
+
+    def _write(self, peer: Peer, data: bytes) -> None:
+        if peer.stream.closed() or not data:
+            return
+        if self.faults.cut_replies and peer.follower is None:
+            self.faults.cut_replies -= 1
+            data = data[: len(data) // 2]
+            self._told(peer, "out", data)
+            with contextlib.suppress(StreamClosedError):
+                peer.stream.write(data).add_done_callback(_swallow)
+            self._end(peer)
+            return
+        self._told(peer, "out", data)
+        with contextlib.suppress(StreamClosedError):
+            peer.stream.write(data).add_done_callback(_swallow)
+
+    def _told(self, peer: Peer, way: str, data: bytes) -> None:
+        if self.tap is not None:
+            self.tap(self.name, peer.number, way, data)
+
+    async def _serve(self, peer: Peer) -> None:
+        reader = CommandReader()
+        try:
+            while True:
+                data = await peer.stream.read_bytes(65_536, partial=True)
+                self._told(peer, "in", data)
+                reader.feed(data)
+                while (args := reader.take()) is not None:
+                    peer.turns.append(args)
+                if not peer.working and not self._at_once(peer):
+                    peer.working = True
+                    self._spawn(self._work(peer))
+        except ProtocolError as problem:
+            self._write(peer, error(str(problem)))
+            self._end(peer)
+        except StreamClosedError:
+            self._end(peer)
+
+    def _at_once(self, peer: Peer) -> bool:
+        """Answer what needs no time; whether that was all."""
+        out: list[bytes] = []
+        while peer.turns and not self.faults.hang and not self._costs(peer.turns[0]):
+            args = peer.turns.popleft()
+            reply = self._execute(peer, args)
+            if reply is None:
+                return True
+            out.append(reply)
+        self._write(peer, b"".join(out))
+        return not peer.turns
+
+    def _costs(self, args: list[bytes]) -> bool:
+        name = args[0].lower()
+        if name == b"wait":
+            return True
+        work = self.work.read_us if name in READS else self.work.write_us if name in self.store.handlers else 0
+        return work > 0
+
+    async def _work(self, peer: Peer) -> None:
+        """Answer a connection's commands in order, each after its work on a free core."""
+        try:
+            while peer.turns and peer.number in self._peers:
+                if self.faults.hang:
+                    await asyncio.sleep(0.02)
+                    continue
+                args = peer.turns[0]
+                name = args[0].lower()
+                if name == b"wait" and peer.queued is None:
+                    peer.turns.popleft()
+                    self._write(peer, await self._wait(peer, int(args[1]), int(args[2])))
+                    continue
+                work = self.work.read_us if name in READS else self.work.write_us if self._costs(args) else 0
+                if work and peer.queued is None:
+                    await self._busy(work * self.faults.slow / self._warmth() / 1e6)
+                    if self.faults.hang:
+                        continue
+                peer.turns.popleft()
+                reply = self._execute(peer, args)
+                if reply is None:
+                    return
+                self._write(peer, reply)
+        finally:
+            peer.working = False
+
+    async def _busy(self, seconds: float) -> None:
+        at = min(range(len(self._free_at)), key=self._free_at.__getitem__)
+        now = time.monotonic()
+        self._free_at[at] = max(now, self._free_at[at]) + seconds
+        await asyncio.sleep(self._free_at[at] - now)
+
+    # ---- Commands ----
+
+    def _execute(self, peer: Peer, args: list[bytes]) -> bytes | None:
+        """One command's reply; None where the box has died of it."""
+        name = args[0].lower()
+        if peer.queued is not None and name not in (b"exec", b"discard", b"multi", b"reset", b"quit", b"watch"):
+            if name not in READS and name in self.store.handlers and not self.is_primary:
+                peer.spoilt = True
+                return READONLY
+            peer.spoilt = peer.spoilt or name not in self.store.handlers
+            peer.queued.append(args)
+            return QUEUED if name in self.store.handlers else error("ERR unknown command")
+        special = getattr(self, f"_do_{name.decode('ascii', 'replace')}", None)
+        if special is not None:
+            reply = special(peer, args)
+            assert reply is None or isinstance(reply, bytes)
+            return reply
+        if name not in READS and not self.is_primary and name in self.store.handlers:
+            return READONLY
+        return self._run(peer, args)
+
+    def _run(self, peer: Peer, args: list[bytes]) -> bytes | None:
+        reply, spread = self.store.execute(args, _ms(), peer.protocol)
+        self.executed += 1
+        if spread and self.faults.die_on_write:
+            # Applied and counted, never shipped: the writes that nobody else has.
+            self.faults.die_on_write = False
+            for one in spread:
+                data = encode_command(one)
+                self.offset += len(data)
+                self.log.add(data)
+            self.stop()
+            return None
+        self._propagate(spread)
+        return reply
+
+    def _do_exec(self, peer: Peer, args: list[bytes]) -> bytes | None:
+        queued, spoilt, watched = peer.queued, peer.spoilt, peer.watched
+        peer.queued, peer.spoilt, peer.watched = None, False, {}
+        if queued is None:
+            return error("ERR EXEC without MULTI")
+        if spoilt:
+            return error("EXECABORT Transaction discarded because of previous errors.")
+        if any(self.store.touched.get(key, 0) != count for key, count in watched.items()):
+            return encode(Null(b"*" if peer.protocol == 2 else b"_"), peer.protocol)
+        replies = []
+        for one in queued:
+            reply = self._run(peer, one)
+            if reply is None:
+                return None
+            replies.append(reply)
+        return b"*%d\r\n" % len(replies) + b"".join(replies)
+
+    def _do_multi(self, peer: Peer, args: list[bytes]) -> bytes:
+        if peer.queued is not None:
+            return error("ERR MULTI calls can not be nested")
+        peer.queued = []
+        return OK
+
+    def _do_discard(self, peer: Peer, args: list[bytes]) -> bytes:
+        if peer.queued is None:
+            return error("ERR DISCARD without MULTI")
+        peer.queued, peer.spoilt, peer.watched = None, False, {}
+        return OK
+
+    def _do_watch(self, peer: Peer, args: list[bytes]) -> bytes:
+        if peer.queued is not None:
+            return error("ERR WATCH inside MULTI is not allowed")
+        for key in args[1:]:
+            peer.watched.setdefault(key, self.store.touched.get(key, 0))
+        return OK
+
+    def _do_unwatch(self, peer: Peer, args: list[bytes]) -> bytes:
+        peer.watched = {}
+        return OK
+
+    def _do_ping(self, peer: Peer, args: list[bytes]) -> bytes:
+        return bulk(args[1]) if len(args) > 1 else b"+PONG\r\n"
+
+    def _do_echo(self, peer: Peer, args: list[bytes]) -> bytes:
+        return bulk(args[1])
+
+    def _do_select(self, peer: Peer, args: list[bytes]) -> bytes:
+        return OK
+
+    def _do_client(self, peer: Peer, args: list[bytes]) -> bytes:
+        return OK
+
+    def _do_hello(self, peer: Peer, args: list[bytes]) -> bytes:
+        if len(args) > 1:
+            if args[1] not in (b"2", b"3"):
+                return error("NOPROTO unsupported protocol version")
+            peer.protocol = int(args[1])
+        role = b"master" if self.is_primary else b"replica"
+        return encode(
+            Map(
+                (
+                    (b"server", b"redis"),
+                    (b"version", b"7.4.0"),
+                    (b"proto", peer.protocol),
+                    (b"id", peer.number),
+                    (b"mode", b"standalone"),
+                    (b"role", role),
+                    (b"modules", Array(())),
+                )
+            ),
+            peer.protocol,
+        )
+
+    def _do_info(self, peer: Peer, args: list[bytes]) -> bytes:
+        wanted = [one.lower() for one in args[1:]] or [b"server", b"replication"]
+        parts = []
+        if {b"server", b"all", b"everything", b"default"} & set(wanted):
+            uptime = int(time.monotonic() - self._started_s)
+            parts.append(
+                f"# Server\r\nredis_version:7.4.0\r\nrun_id:{self.run_id}\r\ntcp_port:{self.port}\r\n"
+                f"uptime_in_seconds:{uptime}\r\n"
+            )
+        if {b"replication", b"all", b"everything", b"default"} & set(wanted):
+            parts.append(self._replication())
+        return bulk("\r\n".join(parts).encode())
+
+    def _replication(self) -> str:
+        followers = [one for one in self._peers.values() if one.follower is not None]
+        lines = ["# Replication", f"role:{'master' if self.is_primary else 'slave'}"]
+        if not self.is_primary:
+            host, port = ("127.0.0.1", self.primary.port) if isinstance(self.primary, Box) else self.primary or ("", 0)
+            lines += [
+                f"master_host:{host}",
+                f"master_port:{port}",
+                f"master_link_status:{'up' if self.link_up else 'down'}",
+                f"slave_read_repl_offset:{self.offset}",
+                f"slave_repl_offset:{self.offset}",
+            ]
+        lines.append(f"connected_slaves:{len(followers)}")
+        lines += [
+            f"slave{at}:ip=127.0.0.1,port=0,state=online,offset={one.follower.acked if one.follower else 0},lag=0"
+            for at, one in enumerate(followers)
+        ]
+        lines += [
+            f"master_replid:{self.replid}",
+            f"master_replid2:{self.replid2 or '0' * 40}",
+            f"master_repl_offset:{self.offset}",
+            f"second_repl_offset:{self.second_offset}",
+            "repl_backlog_active:1",
+            f"repl_backlog_first_byte_offset:{self.log.start + 1}",
+        ]
+        return "\r\n".join(lines) + "\r\n"
+
+    def _do_role(self, peer: Peer, args: list[bytes]) -> bytes:
+        if self.is_primary:
+            rows = tuple(
+                Array((b"127.0.0.1", b"0", b"%d" % one.follower.acked))
+                for one in self._peers.values()
+                if one.follower is not None
+            )
+            return encode(Array((b"master", self.offset, Array(rows))), peer.protocol)
+        port = self.primary.port if isinstance(self.primary, Box) else self.primary[1] if self.primary else 0
+        state = b"connected" if self.link_up else b"connect"
+        return encode(Array((b"slave", b"127.0.0.1", port, state, self.offset)), peer.protocol)
+
+    def _do_replicaof(self, peer: Peer, args: list[bytes]) -> bytes:
+        if args[1].lower() == b"no":
+            if not self.is_primary:
+                self.promote()
+            return OK
+        self.follow((args[1].decode(), int(args[2])))
+        return OK
+
+    def _do_replconf(self, peer: Peer, args: list[bytes]) -> bytes:
+        if args[1].lower() == b"ack":
+            self._on_ack(peer, int(args[2]))
+            return b""
+        return OK
+
+    def _do_psync(self, peer: Peer, args: list[bytes]) -> bytes:
+        self._psync(peer, args)
+        return b""
+
+    def _do_quit(self, peer: Peer, args: list[bytes]) -> bytes:
+        return OK
+
+    def _do_reset(self, peer: Peer, args: list[bytes]) -> bytes:
+        peer.queued, peer.spoilt, peer.watched, peer.protocol = None, False, {}, 2
+        return b"+RESET\r\n"
+
+
+READONLY = encode(Error(b"READONLY You can't write against a read only replica."))
+
+
+def _ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def _swallow(future: "asyncio.Future[None]") -> None:
+    if not future.cancelled():
+        future.exception()
