--- /dev/null
+++ b/oatlink/audit/capture.py
@@ -0,0 +1,96 @@
+"""What crossed the sockets, with times, and the facts of the world that the judge needs. No I/O.
+
+A capture names a place (a client or a box), a connection there, a direction seen from that place, and bytes.
+Notices are what was done to the world at a time: a box started, the roster told of a drain.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from oatlink.protocols.resp import CommandReader, ProtocolError, ReplyReader
+
+
+@dataclass(slots=True)
+class Call:
+    """One command on one connection and what came back; times in microseconds, -1 for never."""
+
+    place: str
+    connection: int
+    args: list[bytes]
+    sent_us: int
+    reply: bytes = b""
+    replied_us: int = -1
+
+
+@dataclass(slots=True)
+class Chunk:
+    """Bytes at a time; `out` means written by the place's own end."""
+
+    at_us: int
+    out: bool
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """A fact: `what` is started, stopped, draining, ready or gone."""
+
+    at_us: int
+    box: str
+    what: str
+
+
+@dataclass(slots=True)
+class Capture:
+    """All traffic of one run."""
+
+    chunks: dict[tuple[str, int], list[Chunk]] = field(default_factory=lambda: defaultdict(list))
+    notices: list[Notice] = field(default_factory=list)
+    bytes_kept: int = 0
+
+    def add(self, at_us: int, place: str, connection: int, out: bool, data: bytes) -> None:
+        """Keep bytes."""
+        self.chunks[place, connection].append(Chunk(at_us, out, data))
+        self.bytes_kept += len(data)
+
+    def notice(self, at_us: int, box: str, what: str) -> None:
+        """Keep a fact."""
+        self.notices.append(Notice(at_us, box, what))
+
+
+@dataclass(slots=True)
+class Line:
+    """One connection read back: its calls in order, and replies that nothing asked for."""
+
+    calls: list[Call]
+    extra: int = 0
+    broken: bool = False
+    replication: bool = False
+
+
+def read_line(place: str, number: int, chunks: list[Chunk], commands_out: bool) -> Line:
+    """The calls of one connection. `commands_out`: this end wrote the commands (a client), else it read them."""
+    commands, replies = CommandReader(), ReplyReader()
+    line = Line([])
+    answered = 0
+    for chunk in chunks:
+        try:
+            if chunk.out is commands_out:
+                commands.feed(chunk.data)
+                while (args := commands.take()) is not None:
+                    line.calls.append(Call(place, number, args, chunk.at_us))
+                    if args[0].upper() == b"PSYNC":
+                        line.replication = True
+                        return line
+            else:
+                replies.feed(chunk.data)
+                while (frame := replies.take()) is not None:
+                    if answered < len(line.calls):
+                        line.calls[answered].reply, line.calls[answered].replied_us = frame, chunk.at_us
+                        answered += 1
+                    else:
+                        line.extra += 1
+        except ProtocolError:
+            line.broken = True
+            return line
+    return line
--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -8,6 +8,7 @@
 
 from oatlink import __version__
 from oatlink.gateway.run import bind, on_signals, run
+from oatlink.lab.day import SCENARIOS, load_scenario, play
 from oatlink.lab.embedded import Embedded
 from oatlink.settings import Settings, SettingsError, load, settings_hash
 
@@ -116,3 +117,33 @@
         f"{file}: good: {len(settings.banks)} banks, {members} members, {len(settings.classes)} classes, "
         f"hash {settings_hash(settings)}"
     )
+
+
+@main.command()
+@click.option(
+    "--scenario",
+    default="trouble",
+    show_default=True,
+    help=f"A built-in one ({', '.join(SCENARIOS)}) or a Jsonnet file with the same fields.",
+)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(2, 3600))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
+def day(scenario: str, seed: int, seconds: float, as_json: bool) -> None:
+    """Play a planned day of trouble on loopback and judge the five rules from what crossed the sockets.
+
+    Exit 0: all rules kept. Exit 1: one was broken; the examples name the requests.
+    """
+    try:
+        found = load_scenario(scenario)
+    except SettingsError as error:
+        _fail(str(error))
+        return
+    report = play(found, seed, seconds)
+    data = report.as_json()
+    if as_json:
+        click.echo(json.dumps(data))
+    else:
+        for name, value in data.items():
+            click.echo(f"{name}: {json.dumps(value) if isinstance(value, dict | list) else value}")
+    sys.exit(0 if report.verdict.kept else 1)
--- a/oatlink/protocols/resp.py
+++ b/oatlink/protocols/resp.py
@@ -181,7 +181,8 @@
         blob = value.blob and protocol >= 3
         out.append(b"!%d\r\n%b\r\n" % (len(value.text), value.text) if blob else b"-%b\r\n" % value.text)
     elif isinstance(value, Null):
-        out.append({b"_": b"_\r\n" if protocol >= 3 else b"$-1\r\n", b"$": b"$-1\r\n", b"*": b"*-1\r\n"}[value.kind])
+        # RESP3 has one null; its clients need not know the two of RESP2.
+        out.append(b"_\r\n" if protocol >= 3 else b"*-1\r\n" if value.kind == b"*" else b"$-1\r\n")
     elif isinstance(value, Double):
         out.append(b",%b\r\n" % value.text if protocol >= 3 else bulk(value.text))
     elif isinstance(value, BigNumber):
