Replicas' positions stay known while reads come, so that reads are spread

Cause: the Router asks for a position only when no known one fits; one replica whose answers keep it known got all bounded reads of a gateway. Change: the engine refreshes positions of replicas while such reads come, rarer the more gateways there are (200 probes of a box a second by all of them).

--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -33,6 +33,7 @@
 STEP_US = 1_000  # what the shell's timers may be late on an idle machine
 SLACK_US = 4_000  # the last moment for a final answer lies so long before the client's time is up
 SAMPLE_WAIT_US = 10_000  # a replica's check waits so long for the primary's offset to compare with
+PROBES_A_S = 200  # of one box by all gateways together, to keep its position known while reads come
 PROBE_PARTS = 4  # samples in a bound: staleness is proven by points at most a quarter of it apart
 
 
@@ -48,6 +49,8 @@
     started_us: int = 0
     check_out: bool = False  # the Router has asked for a check
     probe_out: bool = False
+    refreshing: bool = False  # the engine itself wants its position
+    refreshed_us: int = -(2**62)
     check_waits_us: int = 0  # a check waits for the primary's sample, at most until then
     informed_us: int = -(2**62)  # when a report was last asked for behind an answer
 
@@ -69,6 +72,7 @@
         self._classifier = Classifier(settings)
         bounds = [one.staleness_ms for one in settings.classes if one.freshness == "bounded"]
         self._sample_us = min(bounds, default=1_000) * 1_000 // PROBE_PARTS
+        self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
         limits, cold = settings.limits, settings.cold
         self.router = Router(
             api.Settings(
@@ -296,12 +300,12 @@
         if given.info:
             report = parse_info(given.info)
             self._hear(state, report, given.asked_us)
-            if state.check_out:
-                state.check_out = False
+            if state.check_out or state.refreshing:
+                state.check_out = state.refreshing = False
                 ended = Outcome.SERVED if not report.loading else Outcome.MISS
                 self._route(api.Checked(state.member, ended, given.took_us, self._report(state, given.asked_us)))
         elif state.check_out:
-            state.check_out = False
+            state.check_out = state.refreshing = False
             self._route(api.Checked(state.member, outcomes.ENDINGS[given.how], given.took_us))
         group = self._groups[state.box.bank]
         if given.box == group.primary:
@@ -400,6 +404,25 @@
             return True
         return primary.probe_out and self._now - primary.informed_us < SAMPLE_WAIT_US
 
+    def _refresh(self, number: int) -> None:
+        """Keep the replicas' positions known while reads come that need one.
+
+        Threat: the Router asks for a position only when no known one fits, so one replica whose answers keep it
+        known would get all reads, and the others none. Each is asked ever more rarely the more gateways there are.
+        """
+        for state in self._boxes.values():
+            since = self._now - max(state.asked_us, state.refreshed_us)
+            if (
+                state.box.bank == number
+                and since >= self._refresh_us
+                and state.report is not None
+                and state.report.role == "replica"
+                and state.box.state == "ready"
+                and not state.probe_out
+            ):
+                state.refreshing, state.refreshed_us = True, self._now
+                self._probe(state)
+
     def _probe(self, state: BoxState) -> None:
         state.check_waits_us = 0
         if not state.probe_out:
@@ -699,6 +722,7 @@
             primary = self._boxes.get(group.primary)
             if primary is not None and self._now - group.positions.newest_us() > self._sample_us:
                 self._sample(primary)
+            self._refresh(ask.group)
         name = session.name if self.settings.sessions == "client-name" and session.name else f"#{session.client}"
         left = ask.arrived_us + rule.deadline_ms * 1_000 - self._now
         self._route(api.Arrival(str(ask.id), rule.name, ask.group, left, f"{name}@{ask.group}"))
--- a/oatlink/lab/day.py
+++ b/oatlink/lab/day.py
@@ -28,7 +28,7 @@
 from oatlink.settings.load import decode_file
 from oatlink.standins.box import Box, Work
 
-WORK = Work(read_us=4_000, write_us=3_000, cores=4, cold_share=0.2, warm_s=3.0)
+COLD_SHARE, WARM_S = 0.2, 3.0
 STALENESS_MS = 500
 GRACE_US = 2_000_000
 KEYS = 24
@@ -68,6 +68,7 @@
     members: Annotated[int, Meta(gt=0, le=16)] = 3
     gateways: Annotated[int, Meta(gt=0, le=16)] = 2
     rate: Annotated[float, Meta(gt=0)] = 160.0
+    work_ms: Annotated[float, Meta(gt=0)] = 4.0
 
 
 SCENARIOS = {
@@ -174,7 +175,9 @@
         self._command = command_line or [sys.executable, "-m", "oatlink", "gateway"]
         self._random = random.Random(seed)
         self._capture = Capture()
-        self._embedded = Embedded(scenario.banks, scenario.members, seed, work=WORK, tap=self._tap)
+        work_us = int(scenario.work_ms * 1000)
+        self._work = Work(work_us, work_us, 4, COLD_SHARE, WARM_S)
+        self._embedded = Embedded(scenario.banks, scenario.members, seed, work=self._work, tap=self._tap)
         self._ports = [free_port() for _ in range(scenario.gateways)]
         self._gateways: list[asyncio.subprocess.Process] = []
         self._tokens = 0
@@ -191,7 +194,7 @@
             self._roster = Path(folder) / "roster.json"
             end = await self._embedded.start()
             for box in self._embedded.boxes.values():
-                box._started_s -= WORK.warm_s  # the day begins with a warm fleet
+                box._started_s -= WARM_S  # the day begins with a warm fleet
             self._write_roster()
             try:
                 await self._start_gateways(Path(folder))
@@ -214,10 +217,10 @@
             grace_us=GRACE_US,
             fall_us=1_000_000,
             factor=4.0,
-            work_us=WORK.write_us,
-            cores=WORK.cores,
-            cold_share=WORK.cold_share,
-            warm_us=int(WORK.warm_s * 1e6),
+            work_us=self._work.read_us,
+            cores=self._work.cores,
+            cold_share=COLD_SHARE,
+            warm_us=int(WARM_S * 1e6),
         )
         verdict = Judge(self._capture, terms, self._stop_us).judge(final)
         if any(codes):
@@ -242,7 +245,7 @@
   ],
   peers: {self.scenario.gateways}, seed: {self.seed * 100 + at}, hall: '{HALLS[at % 3]}',
   roster_file: '{self._roster}',
-  cold: {{ share: {WORK.cold_share}, warm_after_ms: {int(WORK.warm_s * 1000)}, overload_factor: 4.0, fall_ms: 1000 }},
+  cold: {{ share: {COLD_SHARE}, warm_after_ms: {int(WARM_S * 1000)}, overload_factor: 4.0, fall_ms: 1000 }},
 }}"""
         path = folder / f"gateway-{at}.jsonnet"
         path.write_text(self._embedded.template(self._ports[at], log_level="warning", more=more))
