--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -18,8 +18,6 @@
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
-HIGH_WATER = 262_144  # bytes not yet taken by a client above which no more is read from it
-
 
 def now_us() -> int:
     """The gateway's clock: monotonic microseconds."""
@@ -51,6 +49,7 @@
         self.unanswered = 0
         self.out: list[bytes] = []
         self.hangup = False
+        self.unsent = 0  # bytes written that the client has not taken
         self.room: asyncio.Future[None] | None = None
         self.written: asyncio.Future[None] | None = None
 
@@ -227,6 +226,7 @@
         """Read a client's commands until it leaves, breaks the protocol or does not take its answers."""
         reader, stream = CommandReader(self._limits), client.stream
         most = self.settings.limits.client_pipeline
+        most_unsent = self.settings.limits.client_output_bytes // 2
         patience_s = self.settings.limits.client_write_timeout_ms / 1000
         try:
             while True:
@@ -238,8 +238,9 @@
                             client.unanswered += 1
                             self.feed(m.Asked(client.number, args))
                         full = client.unanswered >= most
-                    if client.written is not None and not client.written.done():
-                        # It does not take its answers: nothing more is read from it until it does.
+                    if client.unsent > most_unsent and client.written is not None:
+                        # It does not take its answers: nothing more is read from it until it does. Below the
+                        # mark reading goes on, for a client may send a long pipeline before it reads at all.
                         async with asyncio.timeout(patience_s):
                             await asyncio.shield(client.written)
                     if not full:
@@ -283,7 +284,13 @@
                 self.notes.note("client", f"{client.number} cut off: it does not take its answers")
                 stream.close()
                 return
-            written.add_done_callback(_swallow)
+            client.unsent += len(data)
+
+            def taken(future: "asyncio.Future[None]", size: int = len(data)) -> None:
+                client.unsent -= size
+                _swallow(future)
+
+            written.add_done_callback(taken)
             client.written = written
         if client.hangup and not stream.closed():
             if client.written is None or client.written.done():
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -67,7 +67,7 @@
     """Bounds of every queue, for each peer."""
 
     clients: Positive = 10_000
-    client_pipeline: Positive = 1_024
+    client_pipeline: Positive = 64
     client_output_bytes: Positive = 32 * 1024 * 1024
     client_write_timeout_ms: Positive = 10_000
     bulk_bytes: Positive = 64 * 1024 * 1024
