Holds lie in heaps by class, worth and lateness

Cause: each answer sorted all holds. Change: the pump looks at the heads of rows by class, worth and lateness.

--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -258,7 +258,7 @@
             if request is not None and request.rule.effect is Effect.IDEMPOTENT and not request.copied:
                 request.copied = True
                 request.tried.append(member.entry.member)
-                group.held[request.id] = request
+                self._hold(group, request)
         self._plan(group)
 
     def _take_list_role(self, member: Member) -> None:
@@ -582,7 +582,7 @@
         """Send a request, or hold it. Threat: a client's last try, with too little time left for a hold."""
         member = None if wait else self._choose(request)
         if member is None or not self._send(request, member):
-            self._groups[request.group].held[request.id] = request
+            self._hold(self._groups[request.group], request)
             end_us = self._give_up_at(request)
             if self._now >= end_us:
                 self._give_up(request)
@@ -592,20 +592,52 @@
     def _pump(self, group: Group) -> None:
         """Send what is held for a group, the most urgent worth first, as far as there is room."""
         if group.held and any(self._has_room(one, 1.0) for one in group.members.values()):
-            stuck: dict[tuple[str, float], int] = {}
-            for request in sorted(group.held.values(), key=self._urgency):
-                # Threat: hundreds of holds, each tried at every answer. Where one of a class finds no member,
-                # the later ones find none either: they need as much.
-                kind = (request.rule.name, request.worth)
-                if not request.tried and stuck.get(kind, NEVER) <= request.arrived_us:
-                    continue
-                member = self._choose(request)
-                if member is not None:
-                    self._send(request, member)
-                elif not request.tried and self._binds_all(request, group):
-                    stuck.setdefault(kind, request.arrived_us)
+            self._tidy_rows(group)
+            waiting = [(self._urgency(group.held[row[0][1]]), kind) for kind, row in group.rows.items()]
+            heapq.heapify(waiting)
+            aside: list[tuple[tuple[str, float, bool], tuple[int, str]]] = []
+            while waiting:
+                _, kind = heapq.heappop(waiting)
+                row = group.rows[kind]
+                request = group.held.get(row[0][1])
+                if request is not None:
+                    member = self._choose(request)
+                    if member is None or not self._send(request, member):
+                        # Threat: hundreds of holds, each tried at every answer. Where one of a class finds no
+                        # member, the later ones find none either: they need as much.
+                        if not request.tried and self._binds_all(request, group):
+                            continue
+                        aside.append((kind, row[0]))
+                heapq.heappop(row)
+                while row and row[0][1] not in group.held:
+                    heapq.heappop(row)
+                if row:
+                    heapq.heappush(waiting, (self._urgency(group.held[row[0][1]]), kind))
+            for kind, entry in aside:
+                heapq.heappush(group.rows[kind], entry)
         self._plan(group)
 
+    def _hold(self, group: Group, request: Request) -> None:
+        """Keep a request until its group can take it, in the row of its kind, the older first."""
+        group.held[request.id] = request
+        late = self._now > request.arrived_us + request.rule.aim_us
+        kind = (request.rule.name, request.worth, late)
+        heapq.heappush(group.rows.setdefault(kind, []), (request.arrived_us, request.id))
+
+    def _tidy_rows(self, group: Group) -> None:
+        """Take out what is no longer held; what is late by now goes to the row of the late."""
+        for kind in list(group.rows):
+            row = group.rows[kind]
+            while row:
+                request = group.held.get(row[0][1])
+                if request is not None and (kind[2] or self._now <= request.arrived_us + request.rule.aim_us):
+                    break
+                heapq.heappop(row)
+                if request is not None:
+                    self._hold(group, request)
+            if not row:
+                del group.rows[kind]
+
     def _binds_all(self, request: Request, group: Group) -> bool:
         """Whether what holds a request back also holds back the later ones of its class."""
         if request.rule.freshness is Freshness.SESSION:
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -73,12 +73,13 @@
 
 @dataclass(slots=True)
 class Group:
-    """The members of one group and the requests held for it."""
+    """The members of one group and the requests held for it: by name, and in heaps by class, worth, lateness."""
 
     id: int
     members: dict[int, Member] = field(default_factory=dict)
     primary: int | None = None
     held: dict[str, Request] = field(default_factory=dict)
+    rows: dict[tuple[str, float, bool], list[tuple[int, str]]] = field(default_factory=dict)
     share: float = 1.0
     checked_us: int = LONG_AGO
     due_us: int = NEVER
