--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+import uvloop
 
 from oatlink.core import messages as m
 from oatlink.discovery.file import RosterFile, follow
@@ -82,7 +83,7 @@
 ) -> int:
     """Serve until a signal; returns the exit code. With several workers this process only keeps them."""
     if settings.workers == 1:
-        return asyncio.run(_alone(settings, sockets, prepare, announce))
+        return uvloop.run(_alone(settings, sockets, prepare, announce))
     reader, writer = os.pipe()
     children = []
     for number in range(settings.workers):
@@ -91,7 +92,7 @@
             os.close(reader)
             code = 1
             try:
-                code = asyncio.run(_worker(as_worker(settings, number), sockets, number, writer))
+                code = uvloop.run(_worker(as_worker(settings, number), sockets, number, writer))
             finally:
                 sys.stderr.flush()
                 os._exit(code)
@@ -99,7 +100,7 @@
     os.close(writer)
     for one in sockets:
         one.close()
-    return asyncio.run(_keeper(children, reader, prepare, announce))
+    return uvloop.run(_keeper(children, reader, prepare, announce))
 
 
 async def _alone(
