--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -26,7 +26,7 @@
 from oatlink.core.reports import BoxReport, parse_info
 from oatlink.core.sessions import Ask, Place, Session, failure, refusal
 from oatlink.interface import Outcome, Role
-from oatlink.protocols.resp import QUEUED, Null, command, encode, encode_command, error
+from oatlink.protocols.resp import OK, QUEUED, Null, command, encode, encode_command, error
 from oatlink.rules import Router
 from oatlink.settings.model import RequestClass, Settings
 
@@ -241,6 +241,14 @@
             if session.lease_box and session.lease_box != name:
                 session.lease_lost = True  # the primary has moved; what was watched there is not watched here
             session.lease_box = session.lease_box or name
+            if session.lease_lost or session.lease != lease:
+                lease = 0
+                if ask.executes or ask.watches:
+                    # Threat: EXEC on a connection that watches nothing, WATCH on one that others share.
+                    del ask.open[attempt]
+                    self._end_unwatched(ask)
+                    self._route(api.AttemptEnded(str(ask.id), attempt, action.member, Outcome.CANCELLED, 0, over=True))
+                    return
         wants = self._now - state.informed_us >= self._sample_us // 2 and not ask.transaction and not ask.alone
         if wants:
             state.informed_us = self._now
@@ -333,10 +341,11 @@
         state.heard_us = self._now
         group = self._groups[state.box.bank]
         if report.role == "primary" and not report.loading and report.offset >= 0:
+            # A write may have been answered within the same microsecond, after this was asked: that is not in it.
             counted = group.positions.sample(
                 report.replid,
                 report.offset,
-                asked_us,
+                asked_us - 1,
                 self._now,
                 parent=report.replid2 or None,
                 join=report.second_offset,
@@ -462,6 +471,8 @@
                 report = api.Report(given.sent_us, Role.PRIMARY)
             else:
                 report = self._report(state, given.sent_us) if given.info else self._again(state)
+        if ask.lease and given.how != "reply":
+            self._lose_lease(ask)
         over = ask.place.answer is not None
         if outcome is Outcome.SERVED and not over:
             self._serve(ask, given, member)
@@ -715,8 +726,10 @@
         ask.started = True
         rule = ask.rule
         if ask.lease and session.lease_lost:
-            self._lost_watch(session, ask)
-            return
+            if ask.executes or ask.watches:
+                self._end_unwatched(ask)
+                return
+            ask.lease = 0
         if rule.freshness in ("bounded", "session"):
             group = self._groups[ask.group]
             primary = self._boxes.get(group.primary)
@@ -820,21 +833,24 @@
             self._leases[self._last_lease] = session.client
         session.watching += [one for one in slots if one not in session.watching]
         ask = self._ask(session, PINNED, slots, True, encode_command(args))
-        ask.lease = session.lease
+        ask.lease, ask.watches = session.lease, True
         self._enter(session, ask)
 
-    def _lost_watch(self, session: Session, ask: Ask) -> None:
-        """What was watched is no longer watched: EXEC answers as if a key had changed, which it may have."""
-        if ask.executes:
+    def _lose_lease(self, ask: Ask) -> None:
+        """A client's own connection has ended: what it watched is no longer watched."""
+        session = self._sessions.get(ask.client)
+        if session is not None and session.lease == ask.lease:
+            session.lease_lost = True
+
+    def _end_unwatched(self, ask: Ask) -> None:
+        """Nothing is watched any more: EXEC answers as if a key had changed, which it may have; WATCH as usual."""
+        null = encode(Null(b"*" if ask.protocol == 2 else b"_"), ask.protocol)
+        session = self._sessions.get(ask.client)
+        if session is not None and ask.executes and session.lease == ask.lease:
             self._release(session)
-            self.counts["served"] += 1
-            self._out.append(m.Counted(ask.rule.name, "served", self._now - ask.arrived_us))
-            self._finish(ask, encode(Null(b"*" if ask.protocol == 2 else b"_"), ask.protocol))
-        else:
-            ask.lease = 0
-            session_name = f"#{session.client}@{ask.group}"
-            left = ask.arrived_us + ask.rule.deadline_ms * 1_000 - self._now
-            self._route(api.Arrival(str(ask.id), ask.rule.name, ask.group, left, session_name))
+        self.counts["served"] += 1
+        self._out.append(m.Counted(ask.rule.name, "served", self._now - ask.arrived_us))
+        self._finish(ask, null if ask.executes else OK)
 
     def _release(self, session: Session) -> None:
         if session.lease:
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -38,7 +38,8 @@
     arrived_us: int
     protocol: int
     transaction: bool = False
-    executes: bool = False
+    executes: bool = False  # EXEC
+    watches: bool = False  # WATCH
     lease: int = 0
     alone: bool = False
     wait_replicas: int = 0
