--- a/oatlink/settings/load.py
+++ b/oatlink/settings/load.py
@@ -37,8 +37,8 @@
     try:
         data = _jsonnet.evaluate_snippet(name, text, max_stack=200)
     except RuntimeError as error:
-        line = " ".join(str(error).split("\n")[0].split())
-        raise SettingsError(line if name in line else f"{name}: {line}") from None
+        line = re.sub(r"^[A-Z]+ ERROR: ", "", " ".join(str(error).split("\n")[0].split()))
+        raise SettingsError(line if line.startswith(name) else f"{name}: {line}") from None
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,5 +1,6 @@
 """The engine by values alone: order, sessions, identities, positions, deadlines, refusals, repeats."""
 
+import random
 from collections.abc import Iterable
 
 import msgspec
@@ -13,6 +14,7 @@
 from oatlink.core.commands import COMMANDS, find, idempotency_key, slot_of
 from oatlink.core.engine import Engine
 from oatlink.interface import Outcome, Role
+from oatlink.protocols import resp
 from oatlink.protocols.resp import command
 from oatlink.settings import load_text
 
@@ -449,6 +451,43 @@
             assert found.freshness == "write", spec
 
 
+def test_ten_thousand_mutated_replies_from_members_harm_nothing() -> None:
+    rng = random.Random(5)
+    good = [
+        b"+OK\r\n",
+        b"-READONLY x\r\n",
+        b"-LOADING x\r\n",
+        b"*2\r\n:1\r\n$1\r\nx\r\n",
+        b"%1\r\n+a\r\n#t\r\n",
+        b":7\r\n",
+    ]
+    report = info("replica", 100, run="r")
+    rig = Rig()
+    taken = 0
+    for _ in range(10_000):
+        data = bytearray(rng.choice(good))
+        said = bytearray(report)
+        for target in (data, said):
+            for _ in range(rng.randrange(3)):
+                target[rng.randrange(len(target))] = rng.randrange(256)
+        reader = resp.ReplyReader()
+        reader.feed(bytes(data))
+        frames, how = [], "reply"
+        try:
+            while (frame := reader.take()) is not None:
+                frames.append(frame)
+        except resp.ProtocolError:
+            how = "bad reply"
+        send = rig.ask("GET", KEY) or rig.sent[-1]
+        if frames or how != "reply":
+            taken += 1
+            rig.end(send, frames[:1], how, bytes(said) if rng.random() < 0.2 else b"")
+        rig.pass_us(rng.randrange(100, 50_000))
+    rig.pass_us(6_000_000)
+    assert rig.engine.idle and taken > 5_000
+    assert len(rig.engine._names) < 3_000  # boxes that are new members again and again are not all remembered
+
+
 @given(st.lists(st.sampled_from([b"IDMP", b"*", b"MAXLEN", b"p", b"k", b"1-1", b"~", b"5", b"NOMKSTREAM"]), max_size=8))
 def test_a_key_is_seen_only_before_the_entry_id(words: list[bytes]) -> None:
     spec = find(b"xadd")
