Engine passes over nothing-to-do checks; stage benchmark

Every input went through all boxes for waiting checks and every bounded read for old positions; both are now kept by group.

--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -67,8 +67,9 @@
 @click.option("--seconds", default=4.0, show_default=True)
 @click.option("--rounds", default=3, show_default=True)
 @click.option("--depths", default="1,16", show_default=True)
+@click.option("--same-loop", is_flag=True, help="The relay on uvloop as well, as the gateway is.")
 @click.option("--profile", default="", help="Write a cProfile of the gateway to this file.")
-def main(seconds: float, rounds: int, depths: str, profile: str) -> None:
+def main(seconds: float, rounds: int, depths: str, same_loop: bool, profile: str) -> None:
     """Measure and print a table."""
     uvloop.install()
     processes: list[subprocess.Popen[str]] = []
@@ -86,7 +87,7 @@
             members = [{"name": name, "address": address} for name, address in boxes.items()]
             target = int(members[1]["address"].rsplit(":")[-1])
             ports = free_port(), free_port()
-            relay = start("-m", "benchmarks.relay", str(ports[0]), str(target))
+            relay = start("-m", "benchmarks.relay", str(ports[0]), str(target), *(["--uvloop"] if same_loop else []))
             assert relay.stdout is not None
             relay.stdout.readline()
             path = Path(folder) / "gateway.jsonnet"
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 
+import uvloop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
@@ -45,5 +46,7 @@
 
 
 if __name__ == "__main__":
+    if "--uvloop" in sys.argv:
+        uvloop.install()
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(main())
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -62,6 +62,7 @@
     positions: Positions
     primary: str = ""
     elections: int = 0
+    refresh_us: int = 0  # when to look next which replica's position has grown old
 
 
 class Engine:
@@ -97,6 +98,7 @@
         self._local = Local(settings, self._info)
         self._groups = [GroupState(Positions()) for _ in settings.banks]
         self._boxes: dict[str, BoxState] = {}
+        self._check_waits: dict[str, BoxState] = {}
         self._names: dict[int, str] = {}  # member: box
         self._last_member = 0
         self._sessions: dict[int, Session] = {}
@@ -156,7 +158,7 @@
         while self._ends and self._ends[0][0] <= now:
             self._expire(heapq.heappop(self._ends)[1])
         waits = 2**62
-        for state in self._boxes.values():
+        for state in list(self._check_waits.values()):
             if state.check_waits_us:
                 if now >= state.check_waits_us:
                     self._probe(state)
@@ -268,6 +270,7 @@
         named = {one.name for one in given.boxes}
         for name in [one for one in self._boxes if one not in named]:
             self._boxes.pop(name)
+            self._check_waits.pop(name, None)
         for box in given.boxes:
             state = self._boxes.get(box.name)
             if state is None or (state.box.address, state.box.bank) != (box.address, box.bank):
@@ -317,8 +320,8 @@
             self._route(api.Checked(state.member, outcomes.ENDINGS[given.how], given.took_us))
         group = self._groups[state.box.bank]
         if given.box == group.primary:
-            for other in self._boxes.values():
-                if other.check_waits_us and other.box.bank == state.box.bank:
+            for other in list(self._check_waits.values()):
+                if other.box.bank == state.box.bank:
                     self._probe(other)
 
     def _hear(self, state: BoxState, report: BoxReport, asked_us: int) -> None:
@@ -402,6 +405,7 @@
         others = primary is not None and primary is not state and not state.check_waits_us
         if primary is not None and others and not fresh and self._sample(primary):
             state.check_waits_us = self._now + SAMPLE_WAIT_US
+            self._check_waits[state.box.name] = state
             return
         self._probe(state)
 
@@ -419,6 +423,10 @@
         Threat: the Router asks for a position only when no known one fits, so one replica whose answers keep it
         known would get all reads, and the others none. Each is asked ever more rarely the more gateways there are.
         """
+        group = self._groups[number]
+        if self._now < group.refresh_us:
+            return
+        group.refresh_us = self._now + self._refresh_us // PROBE_PARTS
         for state in self._boxes.values():
             since = self._now - max(state.asked_us, state.refreshed_us)
             if (
@@ -433,7 +441,9 @@
                 self._probe(state)
 
     def _probe(self, state: BoxState) -> None:
-        state.check_waits_us = 0
+        if state.check_waits_us:
+            state.check_waits_us = 0
+            self._check_waits.pop(state.box.name, None)
         if not state.probe_out:
             state.probe_out = True
             self._out.append(m.Probe(state.box.name))
