--- a/oatlink/lab/day.py
+++ b/oatlink/lab/day.py
@@ -214,6 +214,7 @@
                 "own": ("session", 2_000_000, 0),
                 "post": ("latest", 3_000_000, 0),
             },
+            harness_us=int(self._worst_lag * 1000),
             grace_us=GRACE_US,
             fall_us=1_000_000,
             factor=4.0,
