--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -3,10 +3,13 @@
 import asyncio
 import json
 import sys
+import time
+from pathlib import Path
 
 import click
 
 from oatlink import __version__
+from oatlink.core.recording import Recording, RecordingError, replay
 from oatlink.gateway.run import bind, on_signals, run
 from oatlink.lab.day import SCENARIOS, load_scenario, play
 from oatlink.lab.embedded import Embedded
@@ -129,7 +132,8 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(2, 3600))
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
-def day(scenario: str, seed: int, seconds: float, as_json: bool) -> None:
+@click.option("--record", default="", metavar="PATH", help="Record each gateway's engine to PATH.0, PATH.1 ...")
+def day(scenario: str, seed: int, seconds: float, as_json: bool, record: str) -> None:
     """Play a planned day of trouble on loopback and judge the five rules from what crossed the sockets.
 
     Exit 0: all rules kept. Exit 1: one was broken; the examples name the requests.
@@ -139,7 +143,7 @@
     except SettingsError as error:
         _fail(str(error))
         return
-    report = play(found, seed, seconds)
+    report = play(found, seed, seconds, record_to=record)
     data = report.as_json()
     if as_json:
         click.echo(json.dumps(data))
@@ -147,3 +151,57 @@
         for name, value in data.items():
             click.echo(f"{name}: {json.dumps(value) if isinstance(value, dict | list) else value}")
     sys.exit(0 if report.verdict.kept else 1)
+
+
+@main.command("replay")
+@click.argument("file", metavar="RECORDING")
+@click.option("--settings", "other", default="", metavar="FILE", help="Replay under these settings: what would differ.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
+def replay_command(file: str, other: str, as_json: bool) -> None:
+    """Feed a recording's inputs to the engine as it is now and compare every effect.
+
+    Exit 0: no difference. Exit 1: at least one; the first is shown with its request. Damage ends the reading at its
+    place, which is said on stderr; what lies before it is replayed.
+    """
+    try:
+        recording = Recording(Path(file).read_bytes(), file)
+    except OSError as error:
+        _fail(f"{file}: {error.strerror}")
+        return
+    except RecordingError as error:
+        _fail(str(error))
+        return
+    began = time.perf_counter()
+    found = replay(recording.header, recording.entries(), _settings(other) if other else None)
+    took = time.perf_counter() - began
+    if recording.damage:
+        click.echo(f"oatlink: {recording.damage}; replayed up to there", err=True)
+    first = found.first
+    data = {
+        "program": recording.header.program,
+        "settings_hash": recording.header.settings_hash,
+        "inputs": found.inputs,
+        "decisions": found.decisions,
+        "differences": found.differences,
+        "seconds": round(took, 3),
+        "damage": recording.damage,
+        "first": None
+        if first is None
+        else {
+            "input": first.number,
+            "request": first.request,
+            "given": repr(first.given),
+            "recorded": [repr(one) for one in first.recorded],
+            "replayed": [repr(one) for one in first.replayed],
+        },
+    }
+    if as_json:
+        click.echo(json.dumps(data))
+    else:
+        click.echo(f"{file}: {found.inputs} inputs, {found.decisions} decisions, {found.differences} differences")
+        if first is not None:
+            click.echo(f"first at input {first.number}, request {first.request}: {first.given!r:.300}")
+            for name, effects in (("recorded", first.recorded), ("replayed", first.replayed)):
+                for one in effects:
+                    click.echo(f"  {name}: {one!r:.300}")
+    sys.exit(1 if found.differences else 0)
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -24,8 +24,13 @@
 
 def as_worker(settings: Settings, number: int) -> Settings:
     """The settings of one worker: a gateway of its own, with a seed of its own, among more of them."""
+    record = f"{settings.record_file}.{number}" if settings.record_file else ""
     return msgspec.structs.replace(
-        settings, seed=settings.seed + number, peers=settings.peers * settings.workers, workers=1
+        settings,
+        seed=settings.seed + number,
+        peers=settings.peers * settings.workers,
+        workers=1,
+        record_file=record,
     )
 
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -15,6 +15,7 @@
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
+from oatlink.gateway.recorder import FileRecorder
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
@@ -62,7 +63,11 @@
         self.now = now_us
         self.notes = notes or Notes(settings.logs)
         self.metrics = Metrics()
-        self.engine = Engine(settings, now_us())
+        began_us = now_us()
+        self.engine = Engine(settings, began_us)
+        self._recorder: FileRecorder | None = None
+        if settings.record_file:
+            self._recorder = FileRecorder(settings, began_us, lambda text: self.notes.note("recording", text))
         limits = settings.limits
         self._limits = Limits(limits.bulk_bytes, limits.message_bytes, limits.items)
         self._clients: dict[int, Client] = {}
@@ -128,11 +133,15 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(0)
+        if self._recorder is not None:
+            self._recorder.close()
 
     def _sweep(self) -> None:
         with self.turn():
             for link in self._links.values():
                 link.sweep()
+        if self._recorder is not None:
+            self._recorder.flush()
 
     # ---- The engine ----
 
@@ -153,7 +162,11 @@
         with self._turn:
             try:
                 while self._inputs:
-                    for effect in self.engine.handle(self._inputs.popleft(), now_us()):
+                    one, at_us = self._inputs.popleft(), now_us()
+                    effects = self.engine.handle(one, at_us)
+                    if self._recorder is not None:
+                        self._recorder.add(at_us, one, effects)
+                    for effect in effects:
                         self._do(effect)
             finally:
                 self._running = False
--- a/oatlink/lab/day.py
+++ b/oatlink/lab/day.py
@@ -170,7 +170,10 @@
 class Day:
     """One run."""
 
-    def __init__(self, scenario: Scenario, seed: int, seconds: float, command_line: list[str] | None = None) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, seconds: float, command_line: list[str] | None = None, record_to: str = ""
+    ) -> None:
+        self._record_to = record_to
         self.scenario, self.seed, self.seconds = scenario, seed, seconds
         self._command = command_line or [sys.executable, "-m", "oatlink", "gateway"]
         self._random = random.Random(seed)
@@ -245,7 +248,7 @@
       late_worth: 0.5, wait_replicas: 1, wait_ms: 500 }},
   ],
   peers: {self.scenario.gateways}, seed: {self.seed * 100 + at}, hall: '{HALLS[at % 3]}',
-  roster_file: '{self._roster}',
+  roster_file: '{self._roster}', record_file: '{f"{self._record_to}.{at}" if self._record_to else ""}',
   cold: {{ share: {COLD_SHARE}, warm_after_ms: {int(WARM_S * 1000)}, overload_factor: 4.0, fall_ms: 1000 }},
 }}"""
         path = folder / f"gateway-{at}.jsonnet"
@@ -508,6 +511,8 @@
     return token
 
 
-def play(scenario: Scenario, seed: int, seconds: float, command_line: list[str] | None = None) -> Report:
-    """Play and judge one day."""
-    return asyncio.run(Day(scenario, seed, seconds, command_line).run())
+def play(
+    scenario: Scenario, seed: int, seconds: float, command_line: list[str] | None = None, record_to: str = ""
+) -> Report:
+    """Play and judge one day; with `record_to`, each gateway's recording is that path and its number."""
+    return asyncio.run(Day(scenario, seed, seconds, command_line, record_to).run())
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -136,6 +136,8 @@
     metrics_listen: str = ""
     roster_file: str = ""
     drain_ms: Positive = 1_500
+    record_file: str = ""
+    record_max_bytes: Positive = 1 << 30
 
 
 def check(settings: Settings) -> Iterator[str]:
--- /dev/null
+++ b/tests/test_recording.py
@@ -0,0 +1,123 @@
+"""Recordings: a day replays to the same effects; damage ends the reading at its place; a changed guard is found."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from oatlink.core import messages as m
+from oatlink.core import recording as core
+from oatlink.core.engine import Engine
+from oatlink.core.recording import Recorder, Recording, RecordingError, replay
+from oatlink.lab.day import SCENARIOS, play
+from oatlink.rules import Router
+from tests.test_engine import KEY, PLAIN, SETTINGS, Rig
+
+
+def recorded(steps: list[tuple[int, int]]) -> bytes:
+    """A short history of an engine, recorded."""
+    recorder = Recorder("test", SETTINGS, 1_000_000_000)
+    parts = [recorder.header]
+    original = Engine.handle
+
+    def traced(self: Engine, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
+        effects = original(self, given, now_us)
+        parts.append(recorder.add(now_us, given, effects))
+        return effects
+
+    Engine.handle = traced  # type: ignore[method-assign]
+    try:
+        rig = Rig()
+        for what, number in steps:
+            if what < 2:
+                rig.ask(*[("GET", KEY), ("SET", PLAIN, number)][what])
+            elif what < 5 and rig.sent:
+                rig.end(rig.sent[number % len(rig.sent)], how=["reply", "reset", "no room"][what - 2])
+            else:
+                rig.pass_us(number * 3_000)
+    finally:
+        Engine.handle = original  # type: ignore[method-assign]
+    return b"".join(parts)
+
+
+STEPS = st.lists(st.tuples(st.integers(0, 5), st.integers(0, 300)), max_size=40)
+
+
+@hypothesis.given(STEPS)
+def test_a_recording_replays_to_the_same_effects(steps: list[tuple[int, int]]) -> None:
+    recording = Recording(recorded(steps))
+    found = replay(recording.header, recording.entries())
+    assert found.inputs >= 4 and found.differences == 0 and not recording.damage
+
+
+@hypothesis.given(STEPS, st.integers(0, 10**6), st.integers(1, 255))
+def test_damage_ends_the_reading_at_its_place(steps: list[tuple[int, int]], at: int, flip: int) -> None:
+    data = bytearray(recorded(steps))
+    whole = len(list(Recording(bytes(data)).entries()))
+    at %= len(data)
+    data[at] ^= flip
+    try:
+        recording = Recording(bytes(data), "f")
+    except RecordingError as error:
+        assert str(error).startswith("f: byte ")
+        return
+    count = len(list(recording.entries()))
+    assert count < whole and recording.damage.startswith("f: byte ")
+    assert int(recording.damage.split()[2].rstrip(":")) <= at
+
+
+def test_a_cut_off_file_is_read_up_to_the_cut() -> None:
+    data = recorded([(0, 0), (1, 1), (2, 0), (5, 9)])
+    count = len(list(Recording(data).entries()))
+    for cut in range(len(data) - 200, len(data)):
+        try:
+            recording = Recording(data[:cut], "f")
+        except RecordingError:
+            continue
+        assert len(list(recording.entries())) <= count - 1
+        assert "cut off" in recording.damage or len(list(recording.entries())) == 0
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"x" * 50, core.MAGIC, core.MAGIC[:-1] + b"\x09" + b"x" * 20, core.MAGIC + core.frame(b"\x90")]
+)
+def test_what_is_no_recording_is_one_line(data: bytes) -> None:
+    with pytest.raises(RecordingError, match="^f: byte|^$") as caught:
+        Recording(data, "f")
+    assert "\n" not in str(caught.value)
+
+
+def test_the_ring_is_bounded() -> None:
+    recorder = Recorder("test", SETTINGS, 0, ring_bytes=1_000)
+    for number in range(500):
+        recorder.add(number, m.Asked(1, [b"GET", b"x" * 50]), [])
+    assert sum(map(len, recorder.ring)) <= 1_000 and len(recorder.ring) > 5
+
+
+def test_a_day_of_trouble_replays_without_a_difference_and_a_changed_guard_is_named(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    report = play(SCENARIOS["trouble"], seed=9, seconds=8, record_to=str(tmp_path / "day"))
+    assert report.verdict.kept
+    inputs = 0
+    for number in range(2):
+        recording = Recording((tmp_path / f"day.{number}").read_bytes())
+        found = replay(recording.header, recording.entries())
+        assert found.differences == 0, found.first
+        inputs += found.inputs
+    assert inputs > 3_000
+    path = tmp_path / "day.0"
+    done = subprocess.run([sys.executable, "-m", "oatlink", "replay", str(path)], capture_output=True, text=True)
+    assert done.returncode == 0 and "0 differences" in done.stdout
+    path.write_bytes(path.read_bytes()[:-3])
+    done = subprocess.run([sys.executable, "-m", "oatlink", "replay", str(path)], capture_output=True, text=True)
+    assert done.returncode == 0 and "cut off inside a frame" in done.stderr
+    # A guard is changed: the replay must find it and name the request.
+    monkeypatch.setattr(Router, "_in_doubt", lambda *_: False)
+    monkeypatch.setattr(Router, "_has_room", lambda self, member, share: len(member.out) < 1)
+    recording = Recording((tmp_path / "day.1").read_bytes())
+    found = replay(recording.header, recording.entries())
+    assert found.differences > 0 and found.first is not None and found.first.request > 0
