Operators ask the same engine: check, status, explain

Change: Engine.verdicts is what INFO members, oatlink status and oatlink check show; check probes by an engine of its own and compares with a running gateway; explain replays a recording with a witness on the Router's own guards. Cause found: a primary on a superseded history was taken for a replica by the list's role; its check now counts as failed.

--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -9,23 +9,19 @@
 import click
 
 from oatlink import __version__
+from oatlink.cli.operators import check, explain_command, fail, status
 from oatlink.core.recording import Recording, RecordingError, replay
-from oatlink.gateway.run import bind, on_signals, run
+from oatlink.gateway.run import bind, on_signals, run, spoken
 from oatlink.lab.day import SCENARIOS, load_scenario, play
 from oatlink.lab.embedded import Embedded
 from oatlink.settings import Settings, SettingsError, load, settings_hash
 
 
-def _fail(text: str) -> None:
-    click.echo(f"oatlink: {text}", err=True)
-    sys.exit(2)
-
-
 def _settings(path: str) -> Settings:
     try:
         return load(path)
     except SettingsError as error:
-        _fail(str(error))
+        fail(str(error))
         raise
 
 
@@ -58,7 +54,7 @@
     try:
         sockets = bind(settings)
     except OSError as error:
-        _fail(f"127.0.0.1:{port}: cannot listen: {error.strerror}")
+        fail(f"127.0.0.1:{port}: cannot listen: {error.strerror}")
         return
     where = sockets[0].getsockname()[1]
     sys.exit(run(settings, sockets, embedded.start, lambda: click.echo(f"ready 127.0.0.1:{where}")))
@@ -76,9 +72,10 @@
     try:
         sockets = bind(settings)
     except OSError as error:
-        _fail(f"{file}: listen: {error.strerror or error}")
+        fail(f"{file}: listen: {error.strerror or error}")
         return
-    sys.exit(run(settings, sockets, None, lambda: click.echo(f"ready {settings.listen[0]}")))
+    shown = spoken(sockets[0].getsockname())
+    sys.exit(run(settings, sockets, None, lambda: click.echo(f"ready {shown}")))
 
 
 @main.command()
@@ -141,7 +138,7 @@
     try:
         found = load_scenario(scenario)
     except SettingsError as error:
-        _fail(str(error))
+        fail(str(error))
         return
     report = play(found, seed, seconds, record_to=record)
     data = report.as_json()
@@ -166,10 +163,10 @@
     try:
         recording = Recording(Path(file).read_bytes(), file)
     except OSError as error:
-        _fail(f"{file}: {error.strerror}")
+        fail(f"{file}: {error.strerror}")
         return
     except RecordingError as error:
-        _fail(str(error))
+        fail(str(error))
         return
     began = time.perf_counter()
     found = replay(recording.header, recording.entries(), _settings(other) if other else None)
@@ -205,3 +202,8 @@
                 for one in effects:
                     click.echo(f"  {name}: {one!r:.300}")
     sys.exit(1 if found.differences else 0)
+
+
+main.add_command(check)
+main.add_command(explain_command)
+main.add_command(status)
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -16,6 +16,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core import outcomes
@@ -37,6 +39,26 @@
 PROBE_PARTS = 4  # samples in a bound: staleness is proven by points at most a quarter of it apart
 
 
+class Verdict(msgspec.Struct, frozen=True):
+    """What a gateway believes of a box. `says` is the box's own word, `role` what counts; -1 is not known."""
+
+    name: str
+    bank: str
+    address: str
+    says: str
+    role: str
+    takes: str
+    state: str
+    replid: str
+    offset: int
+    age_ms: int
+    heard_ms: int
+    warmth: float
+    out: int
+    room: float
+    run_id: str
+
+
 @dataclass(slots=True)
 class BoxState:
     """What is believed of one box, beside the Router's record of its member."""
@@ -68,14 +90,14 @@
 class Engine:
     """Decides for one gateway, by the Router and the modules beside it."""
 
-    def __init__(self, settings: Settings, now_us: int = 0) -> None:
+    def __init__(self, settings: Settings, now_us: int = 0, router: type[Router] = Router) -> None:
         self.settings = settings
         self._classifier = Classifier(settings)
         bounds = [one.staleness_ms for one in settings.classes if one.freshness == "bounded"]
         self._sample_us = min(bounds, default=1_000) * 1_000 // PROBE_PARTS
         self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
         limits, cold = settings.limits, settings.cold
-        self.router = Router(
+        self.router = router(
             api.Settings(
                 seed=settings.seed,
                 zone=settings.hall,
@@ -126,6 +148,7 @@
             m.Probed: self._on_probed,
             m.Ticked: self._on_ticked,
             m.Draining: self._on_draining,
+            m.Inspected: self._on_inspected,
         }
 
     def handle(self, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
@@ -141,6 +164,57 @@
         """Whether no client is owed an answer."""
         return not any(one.places for one in self._sessions.values())
 
+    @property
+    def names(self) -> dict[int, str]:
+        """The boxes behind the Router's member numbers."""
+        return self._names
+
+    @property
+    def last_request(self) -> int:
+        """The number of the newest request; they count from 1."""
+        return self._last_request
+
+    def request(self, number: int) -> Ask | None:
+        """A request that still has something out or is owed an answer."""
+        return self._asks.get(number)
+
+    def verdicts(self) -> list[Verdict]:
+        """What is believed of each box, and what it would be given now."""
+        return [self._verdict(state) for _, state in sorted(self._boxes.items())]
+
+    def _verdict(self, state: BoxState) -> Verdict:
+        report = state.report or BoxReport()
+        believed = self.router.belief(state.member)
+        at = self._report(state, state.asked_us)
+        age = -1 if at is None or at.position_us is None else (self._now - at.position_us) // 1_000
+        if believed is None or state.box.state != "ready":
+            takes = "nothing: draining"
+        elif believed.in_doubt:
+            takes = "nothing for now: a check is overdue"
+        elif believed.primary:
+            takes = "writes and current reads"
+        elif believed.role is Role.REPLICA:
+            takes = "reads that allow its age" if age >= 0 else "reads of any age only: nothing is proven"
+        else:
+            takes = "nothing: role unknown"
+        return Verdict(
+            state.box.name,
+            self.settings.banks[state.box.bank].name,
+            state.box.address,
+            report.role or "unknown",
+            believed.role.value if believed is not None else "unknown",
+            takes,
+            state.box.state,
+            report.replid,
+            report.offset,
+            age,
+            (self._now - state.heard_us) // 1_000 if state.heard_us else -1,
+            believed.warmth if believed is not None else 0.0,
+            believed.out if believed is not None else 0,
+            believed.room if believed is not None else 0.0,
+            report.run_id,
+        )
+
     # ---- Time ----
 
     def _on_started(self, given: m.AnyInput) -> None:
@@ -263,6 +337,13 @@
 
     # ---- Members and what they say ----
 
+    def _on_inspected(self, given: m.AnyInput) -> None:
+        """An operator wants to know: every box is asked, the primaries' offsets first."""
+        ordered = sorted(self._boxes.values(), key=lambda one: one.box.name != self._groups[one.box.bank].primary)
+        for state in ordered:
+            state.refreshing = True
+            self._probe(state)
+
     def _on_listed(self, given: m.AnyInput) -> None:
         """Discovery's whole list. A box of another address or bank under an old name is another box."""
         assert isinstance(given, m.Listed)
@@ -313,11 +394,15 @@
             self._hear(state, report, given.asked_us)
             if state.check_out or state.refreshing:
                 state.check_out = state.refreshing = False
-                ended = Outcome.SERVED if not report.loading else Outcome.MISS
+                # An old primary on its island lives, but nothing that it holds is the group's word.
+                island = report.role == "primary" and report.replid != self._groups[state.box.bank].positions.current
+                ended = Outcome.MISS if report.loading or island else Outcome.SERVED
                 self._route(api.Checked(state.member, ended, given.took_us, self._report(state, given.asked_us)))
         elif state.check_out:
             state.check_out = state.refreshing = False
             self._route(api.Checked(state.member, outcomes.ENDINGS[given.how], given.took_us))
+        else:
+            state.refreshing = False
         group = self._groups[state.box.bank]
         if given.box == group.primary:
             for other in list(self._check_waits.values()):
@@ -872,15 +957,10 @@
 
     def _info(self) -> dict[str, dict[str, object]]:
         boxes: dict[str, object] = {}
-        for name, state in sorted(self._boxes.items()):
-            report = state.report or BoxReport()
-            at = self._report(state, state.asked_us)
-            age = -1 if at is None or at.position_us is None else (self._now - at.position_us) // 1_000
-            boxes[name] = (
-                f"bank={self.settings.banks[state.box.bank].name},role={report.role or 'unknown'},"
-                f"state={state.box.state},offset={report.offset},age_ms={age},"
-                f"heard_ms={(self._now - state.heard_us) // 1_000 if state.heard_us else -1}"
-            )
+        for one in self.verdicts():
+            fields = msgspec.structs.asdict(one)
+            name = fields.pop("name")
+            boxes[name] = ",".join(f"{key}={value}" for key, value in fields.items())
         groups: dict[str, object] = {
             self.settings.banks[number].name: f"primary={one.primary or 'unknown'},elections={one.elections}"
             for number, one in enumerate(self._groups)
--- /dev/null
+++ b/oatlink/core/explain.py
@@ -0,0 +1,134 @@
+"""Why a request went where it went: a replay with a witness on the Router's own choice. No I/O.
+
+The witness asks the Router's methods about each member at the moment of the choice; it holds no rule of its own. It
+asks them about copies, for some of them keep count (the cold budget's tokens), and a replay must stay the same.
+"""
+
+from collections.abc import Iterator
+from copy import copy
+
+import msgspec
+
+from oatlink import interface as api
+from oatlink.core import messages as m
+from oatlink.core.engine import Engine
+from oatlink.core.recording import Entry, Header
+from oatlink.rules import Router
+from oatlink.state import Member, Request
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """One member at one choice: what was held of it, and what the Router's guards say (empty: none objects)."""
+
+    box: str
+    role: str
+    behind_ms: int
+    out: int
+    room: float
+    against: list[str]
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One time that the Router looked for a member. `chosen` is empty where it found none."""
+
+    at_us: int
+    chosen: str
+    need_ms: int
+    candidates: list[Candidate]
+
+
+class Account(msgspec.Struct):
+    """All that befell a request."""
+
+    request: int
+    class_name: str = ""
+    bank: str = ""
+    asked: str = ""
+    choices: list[Choice] = []
+    events: list[str] = []
+
+
+class Witness(Router):
+    """A Router that writes down how it chose for one request."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        super().__init__(settings)
+        self.wanted = ""
+        self.seen: list[Choice] = []
+        self.names: dict[int, str] = {}
+
+    def _choose(self, request: Request) -> Member | None:
+        if request.id != self.wanted:
+            return super()._choose(request)
+        # The guards are asked before the choice: it may ask for a report, which holds a member back.
+        rows = [self._row(request, member) for member in self._groups[request.group].members.values()]
+        found = super()._choose(request)
+        chosen = self.names.get(found.entry.member, "") if found is not None else ""
+        need = self._need(request) if request.rule.freshness is not api.Freshness.WRITE else -1
+        self.seen.append(Choice(self._now, chosen, (self._now - need) // 1000 if need >= 0 else -1, rows))
+        return found
+
+    def _row(self, request: Request, member: Member) -> Candidate:
+        """One member by the Router's own methods."""
+        group = self._groups[request.group]
+        kept = (self._shown, self._shown_us)
+        against = []
+        writes = request.rule.freshness is api.Freshness.WRITE
+        if member.drained:
+            against.append("draining")
+        if member.role is api.Role.UNKNOWN:
+            against.append("role unknown")
+        if writes and group.primary != member.entry.member:
+            against.append("not the primary")
+        if not writes and member.role is api.Role.REPLICA and member.position_us < self._need(request):
+            against.append("position too old or not proven")
+        if self._in_doubt(member):
+            against.append("a check is overdue")
+        if member.entry.member in request.tried:
+            against.append("tried before")
+        if not self._within_budget(copy(member), 1.0):
+            against.append("cold budget spent")
+        elif not self._has_room(copy(member), 1.0):
+            against.append("no room")
+        self._shown, self._shown_us = kept
+        behind = (self._now - member.position_us) // 1000 if member.position_us >= 0 else -1
+        return Candidate(
+            self.names.get(member.entry.member, str(member.entry.member)),
+            member.role.value,
+            behind,
+            len(member.out),
+            round(member.room, 1),
+            against,
+        )
+
+
+def explain(header: Header, entries: Iterator[Entry], request: int) -> Account:
+    """Replay a recording and tell of one request. `events` is empty where the recording does not know it."""
+    engine = Engine(header.settings, header.began_us, router=Witness)
+    witness = engine.router
+    assert isinstance(witness, Witness)
+    witness.wanted = str(request)
+    account = Account(request, choices=witness.seen)
+    for entry in entries:
+        witness.names = engine.names
+        before = engine.last_request
+        effects = engine.handle(entry.given, entry.now_us)
+        if before < request <= engine.last_request and isinstance(entry.given, m.Asked):
+            words = b" ".join(entry.given.args)[:80].decode("utf-8", "replace")
+            account.asked = f"client {entry.given.client}: {words}"
+            account.events.append(f"{entry.now_us} asked")
+            found = engine.request(request)
+            if found is not None:
+                account.class_name, account.bank = found.rule.name, header.settings.banks[found.group].name
+        if isinstance(entry.given, m.Ended) and entry.given.request == request:
+            first = entry.given.frames[0][:60].decode("utf-8", "replace").strip() if entry.given.frames else ""
+            account.events.append(
+                f"{entry.now_us} attempt {entry.given.attempt} at {entry.given.box} ended: "
+                f"{entry.given.how} {first}".rstrip()
+            )
+        for effect in effects:
+            if isinstance(effect, m.Send) and effect.request == request:
+                account.events.append(f"{entry.now_us} attempt {effect.attempt} sent to {effect.box}")
+        if account.events and engine.request(request) is None and before >= request:
+            break
+    return account
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -102,6 +102,10 @@
     """The gateway is about to stop: nothing new is taken, what is held ends."""
 
 
+class Inspected(Input, frozen=True, gc=False):
+    """An operator wants fresh news of every box."""
+
+
 # ---- Effects ----
 
 
@@ -184,5 +188,5 @@
     box: str = ""
 
 
-AnyInput = Started | Listed | Opened | Closed | Asked | Broken | Ended | Met | Probed | Ticked | Draining
+AnyInput = Started | Listed | Opened | Closed | Asked | Broken | Ended | Met | Probed | Ticked | Draining | Inspected
 AnyEffect = Answer | Hangup | Send | Release | Probe | DropIdle | Wake | Note | Counted
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -210,7 +210,7 @@
         self._leases: dict[int, Connection] = {}
         self._lease_waiting: dict[int, deque[m.Send]] = {}
         self._probe: Connection | None = None
-        self._probing = False
+        self.probes = 0  # how many are awaited
         self._tasks: set[asyncio.Task[None]] = set()
         self.closed = False
         self.now, self.turn, self.dirty = shell.now, shell.turn, shell.dirty
@@ -395,6 +395,7 @@
 
     def probe(self) -> None:
         """Carry out `Probe`."""
+        self.probes += 1
         self._spawn(self._ask())
 
     async def _ask(self) -> None:
@@ -423,6 +424,7 @@
             info = b""
             if self._probe is not None:
                 self._probe.close("reset")
+        self.probes -= 1
         with self.turn():
             self._shell.feed(m.Probed(self.name, how, asked_us, self.now() - asked_us, info))
 
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -80,6 +80,13 @@
     return [one for address in settings.listen for one in listen(address)]
 
 
+def spoken(name: object) -> str:
+    """A socket's own address as settings write it; port 0 has become a real one."""
+    if isinstance(name, tuple):
+        return f"[{name[0]}]:{name[1]}" if ":" in name[0] else f"{name[0]}:{name[1]}"
+    return f"unix:{name}"
+
+
 def run(
     settings: Settings,
     sockets: list[socket.socket],
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -136,6 +136,11 @@
         if self._recorder is not None:
             self._recorder.close()
 
+    @property
+    def probing(self) -> bool:
+        """Whether the answer to a probe is awaited."""
+        return any(link.probes for link in self._links.values())
+
     def _sweep(self) -> None:
         with self.turn():
             for link in self._links.values():
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -10,7 +10,7 @@
 
 from oatlink import interface as api
 from oatlink.interface import Effect, Freshness, Listing, Outcome, Role, RosterKind
-from oatlink.state import LONG_AGO, NEVER, Attempt, Group, Member, Request
+from oatlink.state import LONG_AGO, NEVER, Attempt, Belief, Group, Member, Request
 
 HEARTBEAT_US = 10_000_000  # the design's default; also how long what a member has shown is believed
 CHECK_COST_US = 5_000  # what a check is taken to last before one has been answered
@@ -46,7 +46,7 @@
         # Each tenant's share at this router, a second's worth of requests in hand: (rate, left, when).
         self._shares = {name: (max(1.0, rate / settings.peers), 0.0, 0)
                         for name, rate in settings.tenant_rates}
-        self._turn = 0
+        self._turn: float = 0.0
         self._shown, self._shown_us = 0.0, LONG_AGO
         self._answer_us = self._target_us
         self._worth = worth / len(settings.classes)
@@ -81,6 +81,15 @@
         self._look_at_due()
         return self._do
 
+    def belief(self, number: int) -> Belief | None:
+        """What is held of a member, for people; None for one that is not listed or drains. No change."""
+        member = self._members.get(number)
+        if member is None or member.drained:
+            return None
+        primary = self._groups[member.entry.group].primary == number
+        return Belief(member.role, primary, self._in_doubt(member), self._warmth(member), len(member.out),
+                      member.room)
+
     # ---- What is due ----
 
     def _look_at_due(self) -> None:
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -73,7 +73,7 @@
 
 @dataclass(slots=True)
 class Group:
-    """The members of one group and the requests held for it: by name, and in heaps by class, worth, lateness."""
+    """The members of one group and the requests held for it: by name, and in rows by class and worth."""
 
     id: int
     members: dict[int, Member] = field(default_factory=dict)
@@ -83,3 +83,15 @@
     share: float = 1.0
     checked_us: int = LONG_AGO
     due_us: int = NEVER
+
+
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """What a router holds of a member, for people."""
+
+    role: api.Role
+    primary: bool
+    in_doubt: bool
+    warmth: float
+    out: int
+    room: float
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,153 @@
+"""Helpers agree with the gateway, for they ask the same engine: status, check, explain."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from oatlink.core import messages as m
+from oatlink.core.explain import explain
+from oatlink.core.recording import Recording, replay
+from oatlink.protocols import resp
+from tests.test_engine import KEY, PLAIN, Rig, info, sent
+from tests.test_recording import recorded
+from tests.test_standins import Wire
+
+
+def run(*words: str, code: int = 0) -> str:
+    done = subprocess.run([sys.executable, "-m", "oatlink", *words], capture_output=True, text=True, timeout=30)
+    assert done.returncode == code, done.stdout + done.stderr
+    return done.stdout + done.stderr
+
+
+class Site:
+    """A stand-in bank and a gateway before it, each a process, as an operator has them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.bank = subprocess.Popen([sys.executable, "-m", "oatlink", "bank"], stdout=subprocess.PIPE, text=True)
+        assert self.bank.stdout is not None
+        said = json.loads(self.bank.stdout.readline())
+        self.control = int(said["control"].rsplit(":")[-1])
+        self.boxes = said["banks"]["bank-0"]
+        self.folder = folder
+        self.roster = folder / "roster.json"
+        self.recording = folder / "recording"
+        self.tell()
+        self.settings = folder / "site.jsonnet"
+        self.settings.write_text(
+            f"{{ listen: ['127.0.0.1:0'], roster_file: '{self.roster}', record_file: '{self.recording}',\n"
+            f"  classes: [{{ name: 'view', freshness: 'bounded', effect: 'idempotent', aim_ms: 600,\n"
+            f"    deadline_ms: 2000, staleness_ms: 500, match: {{ keys: ['v:*'] }} }}],\n"
+            f"  banks: (import 'roster.json').banks }}"
+        )
+        self.gateway = subprocess.Popen(
+            [sys.executable, "-m", "oatlink", "gateway", str(self.settings)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        assert self.gateway.stdout is not None
+        line = self.gateway.stdout.readline()
+        assert line.startswith("ready 127.0.0.1:") and not line.startswith("ready 127.0.0.1:0\n"), line
+        self.address = line.split()[1]
+        self.port = int(self.address.rsplit(":")[-1])
+
+    def tell(self, **states: str) -> None:
+        members = [
+            {"name": name, "address": address, "state": states.get(name.replace("-", "_"), "ready")}
+            for name, address in self.boxes.items()
+        ]
+        new = self.roster.with_suffix(".new")
+        new.write_text(json.dumps({"banks": [{"name": "b", "slots": [[0, 16383]], "members": members}]}))
+        new.rename(self.roster)
+
+    def end(self) -> None:
+        for one in (self.gateway, self.bank):
+            one.terminate()
+            one.wait(5)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    one = Site(tmp_path)
+    yield one
+    one.end()
+
+
+async def work(port: int, count: int) -> None:
+    wire = await Wire.open(port)
+    for number in range(count):
+        await wire.ask("SET", "v:1", number)
+        assert not isinstance(await wire.ask("GET", "v:1"), resp.Error)
+        await asyncio.sleep(0.01)
+
+
+def test_check_and_status_and_gateway_say_the_same(site: Site) -> None:
+    asyncio.run(work(site.port, 40))
+    shown = json.loads(run("status", site.address, "--json"))
+    assert shown["members"]["box-0-0"]["takes"] == "writes and current reads"
+    assert int(shown["stats"]["requests_served"]) == 80
+    found = json.loads(run("check", str(site.settings), "--against", site.address, "--json"))
+    assert found["differ"] == [] and found["boxes"]["box-0-1"]["takes"] == "reads that allow its age"
+    assert "box-0-0" in run("status", site.address) and "box-0-2" in run("check", str(site.settings))
+
+
+def test_a_draining_box_is_the_same_to_the_helper(site: Site) -> None:
+    asyncio.run(work(site.port, 20))
+    site.tell(box_0_1="terminating")
+    asyncio.run(work(site.port, 30))
+    found = json.loads(run("check", str(site.settings), "--against", site.address, "--json", code=1))
+    assert found["differ"] == []
+    assert found["boxes"]["box-0-1"]["takes"] == found["boxes"]["box-0-1"]["gateway"] == "nothing: draining"
+    run("check", str(site.settings), "box-0-2")
+    assert "no box 'nobody'" in run("check", str(site.settings), "nobody", code=2)
+
+
+def test_explain_names_the_guards_of_a_recorded_request(site: Site) -> None:
+    asyncio.run(work(site.port, 20))
+    site.tell(box_0_1="terminating")
+    asyncio.run(work(site.port, 10))
+    site.gateway.terminate()
+    site.gateway.wait(5)
+    recording = Recording(site.recording.read_bytes())
+    assert replay(recording.header, recording.entries()).differences == 0
+    text = run("explain", str(site.recording), "59")
+    assert "class default-write" in text and "chose box-0-0" in text and "not the primary" in text
+    account = explain(recording.header, Recording(site.recording.read_bytes()).entries(), 60)
+    assert account.class_name == "view" and account.choices
+    for choice in account.choices:
+        drained = [one for one in choice.candidates if one.box == "box-0-1"]
+        assert all("draining" in one.against for one in drained) and choice.chosen != "box-0-1"
+    assert "no request 999" in run("explain", str(site.recording), "999", code=1)
+
+
+def test_the_witness_changes_nothing() -> None:
+    data = recorded([(0, 0), (1, 1), (5, 40), (0, 2), (3, 1), (5, 200), (1, 3), (2, 2), (0, 9)])
+    recording = Recording(data)
+    account = explain(recording.header, recording.entries(), 2)
+    assert account.asked.startswith("client 1: SET") and account.events
+    found = replay(Recording(data).header, Recording(data).entries())
+    assert found.differences == 0
+
+
+def test_a_claim_that_a_later_one_has_overturned_is_not_believed() -> None:
+    rig = Rig()
+    rig.end(sent(rig.ask("SET", PLAIN, 0)))
+    rig.pass_us(1_000)
+    rig.says["r"] = info("primary", 100, "h2", "r", "h1", 101)
+    rig.give(m.Inspected())
+    rig.give(m.Inspected())
+    takes = {one.name: one.takes for one in rig.engine.verdicts()}
+    assert takes["r"] == "writes and current reads"
+    assert takes["p"] == "nothing: role unknown"  # it still says that it is primary
+    assert takes["s"].startswith("reads")
+    assert rig.ask("GET", KEY) is not None
+
+
+def test_what_is_no_gateway_is_one_line(tmp_path: Path) -> None:
+    assert "Connection refused" in run("status", "127.0.0.1:1", code=2)
+    assert "expected host:port" in run("status", "nowhere", code=2)
