--- a/oatlink/cli/operators.py
+++ b/oatlink/cli/operators.py
@@ -10,6 +10,7 @@
 import click
 import msgspec
 
+from oatlink import __version__
 from oatlink.core import messages as m
 from oatlink.core.explain import explain
 from oatlink.core.recording import Recording, RecordingError
@@ -131,7 +132,9 @@
 async def inspect(path: str) -> dict[str, dict[str, str]]:
     """Ask every box of a settings file by an engine of our own, as the gateway would. Raises `SettingsError`."""
     settings = load(path)
-    gateway = Gateway(msgspec.structs.replace(settings, record_file="", drain_ms=1, logs=Logs(level="error")))
+    gateway = Gateway(
+        msgspec.structs.replace(settings, record_file="", snapshot_file="", drain_ms=1, logs=Logs(level="error"))
+    )
     gateway.start([])
     wait_s = (settings.links.connect_timeout_ms + settings.links.probe_timeout_ms) / 1000 + 0.1
     # Twice: a replica's offset says how old it is only beside a primary's that was asked before it.
@@ -161,7 +164,13 @@
     """
     try:
         rows = asyncio.run(inspect(file))
-        other = member_rows(ask_info(against)) if against else {}
+        sections = ask_info(against) if against else {}
+        if against and sections["server"]["oatlink_version"] != __version__:
+            raise AskError(
+                f"{against}: version {sections['server']['oatlink_version']}, this is {__version__}: "
+                "they may decide differently"
+            )
+        other = member_rows(sections)
     except (SettingsError, AskError) as error:
         fail(str(error))
         return
--- a/oatlink/core/recording.py
+++ b/oatlink/core/recording.py
@@ -14,6 +14,7 @@
 
 from oatlink.core import messages as m
 from oatlink.core.engine import Engine
+from oatlink.core.redact import Redactor, comparable
 from oatlink.settings.load import settings_hash
 from oatlink.settings.model import Settings
 
@@ -57,6 +58,8 @@
     """Makes frames of what an engine does, and keeps the newest ones in a ring of bounded size."""
 
     def __init__(self, program: str, settings: Settings, began_us: int, ring_bytes: int = 1 << 20) -> None:
+        self.redactor = Redactor(settings)
+        self._redacts = settings.record_redact != "none"
         self.header = MAGIC + frame(_encoder.encode(Header(program, settings_hash(settings), settings, began_us)))
         self.ring: deque[bytes] = deque()
         self._ring_bytes = ring_bytes
@@ -64,6 +67,8 @@
 
     def add(self, now_us: int, given: m.AnyInput, effects: list[m.AnyEffect]) -> bytes:
         """The frame of one input; it is also kept in the ring, from which the oldest make room."""
+        if self._redacts:
+            given, effects = self.redactor.given(given), comparable(effects, True)
         data = frame(_encoder.encode(Entry(now_us, given, effects)))
         self.ring.append(data)
         self._held += len(data)
@@ -146,9 +151,10 @@
     After a first difference the two worlds part; later ones are counted, but say little by themselves.
     """
     engine = Engine(settings or header.settings, header.began_us)
+    redacted = header.settings.record_redact != "none"
     found = Replayed()
     for entry in entries:
-        effects = engine.handle(entry.given, entry.now_us)
+        effects = comparable(engine.handle(entry.given, entry.now_us), redacted)
         found.inputs += 1
         found.decisions += sum(isinstance(one, m.Send | m.Answer) for one in effects)
         if _encoder.encode(effects) != _encoder.encode(entry.effects):
--- a/oatlink/gateway/recorder.py
+++ b/oatlink/gateway/recorder.py
@@ -1,11 +1,14 @@
-"""Writes a recording to a file, buffered; a full disk or the stated size ends it, never the gateway."""
+"""Recordings and snapshots on disk, buffered; a full disk or the stated size ends them, never the gateway."""
 
+import os
 from collections.abc import Callable
 from typing import BinaryIO
 
 from oatlink import __version__
 from oatlink.core import messages as m
+from oatlink.core.engine import Engine
 from oatlink.core.recording import Recorder
+from oatlink.core.snapshot import SnapshotError, start_from
 from oatlink.settings.model import Settings
 
 BUFFER = 262_144  # bytes gathered before a write
@@ -56,6 +59,34 @@
     def close(self) -> None:
         """Write the rest and close."""
         self.flush()
+        if self._recorder.redactor.unredacted:
+            self._wrong(
+                f"{self._recorder.redactor.unredacted} keys were recorded as they were: hashed, they would "
+                "fall into another class"
+            )
         if self._file is not None:
             self._file.close()
             self._file = None
+
+
+def write_snapshot(path: str, data: bytes, wrong: Callable[[str], None]) -> None:
+    """Replace a snapshot file at once: a reader finds the old one or the new one, never half of one."""
+    try:
+        with open(path + ".new", "wb") as file:
+            file.write(data)
+        os.replace(path + ".new", path)
+    except OSError as error:
+        wrong(f"{path}: {error.strerror}; no snapshot written")
+
+
+def start_engine(settings: Settings, now_us: int, wrong: Callable[[str], None]) -> Engine:
+    """An engine, from the snapshot that the settings name if there is one that can be used."""
+    if settings.snapshot_file and not settings.record_file:
+        try:
+            with open(settings.snapshot_file, "rb") as file:
+                return start_from(file.read(), settings, now_us, settings.snapshot_file)
+        except FileNotFoundError:
+            pass
+        except (OSError, SnapshotError) as error:
+            wrong(f"{error}; starting with nothing known")
+    return Engine(settings, now_us)
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -31,6 +31,7 @@
         peers=settings.peers * settings.workers,
         workers=1,
         record_file=record,
+        snapshot_file=f"{settings.snapshot_file}.{number}" if settings.snapshot_file else "",
     )
 
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -11,11 +11,11 @@
 from tornado.netutil import add_accept_handler, bind_sockets, bind_unix_socket
 
 from oatlink.core import messages as m
-from oatlink.core.engine import Engine
+from oatlink.core.snapshot import take
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
-from oatlink.gateway.recorder import FileRecorder
+from oatlink.gateway.recorder import FileRecorder, start_engine, write_snapshot
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
@@ -64,7 +64,8 @@
         self.notes = notes or Notes(settings.logs)
         self.metrics = Metrics()
         began_us = now_us()
-        self.engine = Engine(settings, began_us)
+        self.engine = start_engine(settings, began_us, lambda text: self.notes.note("snapshot", text))
+        self._snapshot_us = began_us
         self._recorder: FileRecorder | None = None
         if settings.record_file:
             self._recorder = FileRecorder(settings, began_us, lambda text: self.notes.note("recording", text))
@@ -124,6 +125,7 @@
         while not self.engine.idle and time.monotonic() < end:
             await asyncio.sleep(0.01)
         self._sweeper.stop()
+        self._snapshot(0)
         for client in list(self._clients.values()):
             client.stream.close()
         for link in self._links.values():
@@ -147,6 +149,14 @@
                 link.sweep()
         if self._recorder is not None:
             self._recorder.flush()
+        self._snapshot(self.settings.snapshot_every_ms * 1000)
+
+    def _snapshot(self, after_us: int) -> None:
+        """Write the engine's state, unless the last one is younger."""
+        if self.settings.snapshot_file and now_us() - self._snapshot_us >= after_us:
+            self._snapshot_us = now_us()
+            data = take(self.engine, self._snapshot_us)
+            write_snapshot(self.settings.snapshot_file, data, lambda text: self.notes.note("snapshot", text))
 
     # ---- The engine ----
 
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -138,6 +138,9 @@
     drain_ms: Positive = 1_500
     record_file: str = ""
     record_max_bytes: Positive = 1 << 30
+    record_redact: Literal["none", "values", "keys"] = "none"
+    snapshot_file: str = ""
+    snapshot_every_ms: Positive = 5_000
 
 
 def check(settings: Settings) -> Iterator[str]:
