--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -11,7 +11,9 @@
 from oatlink import __version__
 from oatlink.cli.operators import check, explain_command, fail, status
 from oatlink.core.recording import Recording, RecordingError, replay
+from oatlink.gateway.links import DialError
 from oatlink.gateway.run import bind, on_signals, run, spoken
+from oatlink.lab.against import clients_of, drive
 from oatlink.lab.day import SCENARIOS, load_scenario, play
 from oatlink.lab.embedded import Embedded
 from oatlink.settings import Settings, SettingsError, load, settings_hash
@@ -153,8 +155,10 @@
 @main.command("replay")
 @click.argument("file", metavar="RECORDING")
 @click.option("--settings", "other", default="", metavar="FILE", help="Replay under these settings: what would differ.")
+@click.option("--against", default="", metavar="HOST:PORT", help="Drive a running gateway and compare how it answers.")
+@click.option("--pace", default=1.0, show_default=True, help="With --against: 2 is half as fast, 0 at once.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
-def replay_command(file: str, other: str, as_json: bool) -> None:
+def replay_command(file: str, other: str, against: str, pace: float, as_json: bool) -> None:
     """Feed a recording's inputs to the engine as it is now and compare every effect.
 
     Exit 0: no difference. Exit 1: at least one; the first is shown with its request. Damage ends the reading at its
@@ -168,6 +172,9 @@
     except RecordingError as error:
         fail(str(error))
         return
+    if against:
+        _drive(recording, against, pace, as_json)
+        return
     began = time.perf_counter()
     found = replay(recording.header, recording.entries(), _settings(other) if other else None)
     took = time.perf_counter() - began
@@ -204,6 +211,37 @@
     sys.exit(1 if found.differences else 0)
 
 
+def _drive(recording: Recording, against: str, pace: float, as_json: bool) -> None:
+    """`replay --against`: exit 1 where a command ended otherwise than it did when recorded."""
+    try:
+        compared = asyncio.run(drive(clients_of(recording), against, pace))
+    except (RecordingError, DialError) as error:
+        fail(f"{against}: {error}")
+        return
+    rows = [
+        {"command": name, "recorded": then, "now": now, "count": count}
+        for (name, then, now), count in sorted(compared.pairs.items())
+    ]
+    if as_json:
+        click.echo(json.dumps({"differences": compared.differences, "rows": rows}))
+    else:
+        for row in rows:
+            click.echo(f"{row['command']}: {row['recorded']} then, {row['now']} now: {row['count']}")
+        click.echo(f"{compared.differences} ended otherwise")
+    sys.exit(1 if compared.differences else 0)
+
+
+@main.command("what-if")
+@click.argument("file", metavar="RECORDING")
+@click.option("--settings", "other", required=True, metavar="FILE", help="The settings to try.")
+def what_if(file: str, other: str) -> None:
+    """Say which recorded decisions would be others under other settings.
+
+    Exit 0: none. Exit 1: some; the first is named. What comes after it is no longer the same history.
+    """
+    click.get_current_context().invoke(replay_command, file=file, other=other)
+
+
 main.add_command(check)
 main.add_command(explain_command)
 main.add_command(status)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,11 +8,15 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from oatlink.cli import operators
 from oatlink.core import messages as m
 from oatlink.core.explain import explain
 from oatlink.core.recording import Recording, replay
+from oatlink.gateway.server import Gateway, listen
 from oatlink.protocols import resp
+from oatlink.settings import load
 from tests.test_engine import KEY, PLAIN, Rig, info, sent
 from tests.test_recording import recorded
 from tests.test_standins import Wire
@@ -125,6 +129,61 @@
     assert "no request 999" in run("explain", str(site.recording), "999", code=1)
 
 
+def test_a_recording_is_driven_at_a_running_gateway_and_what_if_names_the_first_other_decision(site: Site) -> None:
+    asyncio.run(work(site.port, 15))
+    site.gateway.terminate()
+    site.gateway.wait(5)
+    copy = site.folder / "copy"
+    copy.write_bytes(site.recording.read_bytes())
+    site.gateway = subprocess.Popen(
+        [sys.executable, "-m", "oatlink", "gateway", str(site.settings)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    assert site.gateway.stdout is not None
+    address = site.gateway.stdout.readline().split()[1]
+    found = json.loads(run("replay", str(copy), "--against", address, "--pace", "0.2", "--json"))
+    assert found["differences"] == 0 and sum(row["count"] for row in found["rows"]) == 30
+    run("what-if", str(copy), "--settings", str(site.settings))
+    other = site.folder / "other.jsonnet"
+    other.write_text(site.settings.read_text().replace("'bounded'", "'latest'").replace("staleness_ms: 500,", ""))
+    assert "first at input" in run("what-if", str(copy), "--settings", str(other), code=1)
+    assert "127.0.0.1:1: refused" in run("replay", str(copy), "--against", "127.0.0.1:1", code=2)
+
+
+def test_a_gateway_of_another_version_is_refused(site: Site, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operators, "__version__", "9.9")
+    done = CliRunner().invoke(operators.check, [str(site.settings), "--against", site.address])
+    assert done.exit_code == 2 and "they may decide differently" in done.output
+
+
+def test_a_gateway_starts_from_its_snapshot(site: Site) -> None:
+    path = site.folder / "state"
+    text = site.settings.read_text().replace(f"record_file: '{site.recording}'", f"snapshot_file: '{path}'")
+    site.settings.write_text(text.replace("classes:", "sessions: 'client-name', classes:"))
+    site.gateway.terminate()
+    site.gateway.wait(5)
+
+    async def once() -> None:
+        settings = load(str(site.settings))
+        for turn in range(2):
+            gateway = Gateway(settings)
+            sockets = listen("127.0.0.1:0")
+            gateway.start(sockets)
+            wire = await Wire.open(sockets[0].getsockname()[1])
+            assert ("teller@0" in gateway.engine.router._sessions) is bool(turn)
+            await wire.ask("CLIENT", "SETNAME", "teller")
+            assert await wire.ask("SET", "v:1", 1) == resp.Simple(b"OK")
+            await gateway.stop()
+        path.write_bytes(path.read_bytes()[:-9])  # half-written: the gateway starts all the same
+        gateway = Gateway(settings)
+        assert not gateway.engine.router._sessions
+        await gateway.stop()
+
+    asyncio.run(once())
+
+
 def test_the_witness_changes_nothing() -> None:
     data = recorded([(0, 0), (1, 1), (5, 40), (0, 2), (3, 1), (5, 200), (1, 3), (2, 2), (0, 9)])
     recording = Recording(data)
