--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -13,8 +13,8 @@
 """
 
 import heapq
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -28,13 +28,16 @@
 from oatlink.core.reports import BoxReport, parse_info
 from oatlink.core.sessions import Ask, Place, Session, failure, refusal
 from oatlink.interface import Outcome, Role
-from oatlink.protocols.resp import OK, QUEUED, Null, command, encode, encode_command, error
+from oatlink.protocols.resp import OK, QUEUED, Array, Map, Null, Simple, Value, command, encode, encode_command, error
 from oatlink.rules import Router
 from oatlink.settings.model import RequestClass, Settings
 
 STEP_US = 1_000  # what the shell's timers may be late on an idle machine
 SLACK_US = 4_000  # the last moment for a final answer lies so long before the client's time is up
 SAMPLE_WAIT_US = 10_000  # a replica's check waits so long for the primary's offset to compare with
+ADMIN = frozenset((b"MEMBERS", b"BANKS", b"ELECTIONS", b"SESSIONS", b"INSPECT"))
+MOST_SESSIONS = 1_000  # shown to operators at once
+KEPT_ELECTIONS = 16  # a bank, for operators
 PROBES_A_S = 200  # of one box by all gateways together, to keep its position known while reads come
 PROBE_PARTS = 4  # samples in a bound: staleness is proven by points at most a quarter of it apart
 
@@ -84,6 +87,7 @@
     positions: Positions
     primary: str = ""
     elections: int = 0
+    recent: list[tuple[int, str, str]] = field(default_factory=list)  # when seen, from, to: the last ones
     refresh_us: int = 0  # when to look next which replica's position has grown old
 
 
@@ -440,6 +444,7 @@
             )
             if counted and group.primary != state.box.name:
                 group.elections += bool(group.primary)
+                group.recent = [*group.recent[1 - KEPT_ELECTIONS :], (self._now, group.primary, state.box.name)]
                 group.primary = state.box.name
         if again or back or first:
             warm_us = self.settings.cold.warm_after_ms * 1_000
@@ -640,7 +645,7 @@
 
     def _on_opened(self, given: m.AnyInput) -> None:
         assert isinstance(given, m.Opened)
-        self._sessions[given.client] = Session(given.client, peer=given.peer, since_us=self._now)
+        self._sessions[given.client] = Session(given.client, peer=given.peer, since_us=self._now, admin=given.admin)
 
     def _on_closed(self, given: m.AnyInput) -> None:
         """A client has left. What it asked for may be running; nothing more is sent for it."""
@@ -690,6 +695,9 @@
         if session is None or session.closing:
             return
         args = given.args
+        if session.admin:
+            self._administer(session, args)
+            return
         spec = find(args[0])
         if spec is None:
             session.spoilt = session.queued is not None
@@ -955,6 +963,87 @@
 
     # ---- What the gateway says of itself ----
 
+    def _administer(self, session: Session, args: list[bytes]) -> None:
+        """A command on the operators' listener: a few of the specification's, and the words of `ADMIN`."""
+        name = args[0].upper()
+        if name in ADMIN and len(args) == 1:
+            self._say(session, encode(self._admin_value(name), session.protocol))
+            return
+        spec = find(args[0])
+        if spec is None or spec.name not in ("ping", "info", "hello", "auth", "client", "command", "quit", "echo"):
+            words = " ".join(sorted(one.decode() for one in ADMIN))
+            self._say(session, error(f"ERR not served to operators; they have INFO, PING and {words}"))
+        elif not spec.arity_fits(len(args)):
+            self._say(session, error(f"ERR wrong number of arguments for '{spec.name}' command"))
+        elif not self._local.admits(session, spec):
+            self._say(session, error("NOAUTH Authentication required."))
+        else:
+            self._answer_locally(session, spec, args)
+
+    def _admin_value(self, name: bytes) -> Value:
+        """What an operators' word shows; `INSPECT` asks every box anew and shows nothing."""
+        now = self._now
+        if name == b"MEMBERS":
+            return Array(tuple(_table(msgspec.structs.asdict(one)) for one in self.verdicts()))
+        if name == b"BANKS":
+            rows = []
+            for number, group in enumerate(self._groups):
+                asks = [one for one in self._asks.values() if one.group == number and one.place.answer is None]
+                held = [one for one in asks if one.started and not one.open]
+                oldest = max((now - one.arrived_us for one in held), default=0)
+                newest = group.positions.newest_us()
+                rows.append(
+                    _table(
+                        {
+                            "name": self.settings.banks[number].name,
+                            "primary": group.primary or "unknown",
+                            "history": group.positions.current or "",
+                            "elections": group.elections,
+                            "open": len(asks),
+                            "held": len(held),
+                            "longest_held_ms": oldest // 1_000,
+                            "sample_age_ms": (now - newest) // 1_000 if newest >= 0 else -1,
+                        }
+                    )
+                )
+            return Array(tuple(rows))
+        if name == b"ELECTIONS":
+            return Array(
+                tuple(
+                    _table(
+                        {
+                            "bank": self.settings.banks[number].name,
+                            "ago_ms": (now - at_us) // 1_000,
+                            "from": old,
+                            "to": new,
+                        }
+                    )
+                    for number, group in enumerate(self._groups)
+                    for at_us, old, new in group.recent
+                )
+            )
+        if name == b"SESSIONS":
+            return Array(
+                tuple(
+                    _table(
+                        {
+                            "id": one.client,
+                            "peer": one.peer,
+                            "name": one.name,
+                            "user": one.user,
+                            "age_ms": (now - one.since_us) // 1_000,
+                            "owed": len(one.places),
+                            "waiting": len(one.waiting),
+                            "multi": -1 if one.queued is None else len(one.queued),
+                            "watching": len(one.watching),
+                        }
+                    )
+                    for one in list(self._sessions.values())[:MOST_SESSIONS]
+                )
+            )
+        self._on_inspected(m.Inspected())
+        return Simple(b"OK")
+
     def _info(self) -> dict[str, dict[str, object]]:
         boxes: dict[str, object] = {}
         for one in self.verdicts():
@@ -975,6 +1064,11 @@
         }
 
 
+def _table(fields: Mapping[str, object]) -> Value:
+    """A row for operators."""
+    return Map(tuple((key.encode(), one if isinstance(one, int) else str(one).encode()) for key, one in fields.items()))
+
+
 def _with_run(report: BoxReport, old: BoxReport) -> BoxReport:
     return BoxReport(
         report.role,
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -37,10 +37,11 @@
 
 
 class Opened(Input, frozen=True, gc=False):
-    """A client has connected."""
+    """A client has connected; `admin` where it came by the listener for operators."""
 
     client: int
     peer: str = ""
+    admin: bool = False
 
 
 class Closed(Input, frozen=True, gc=False):
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -72,6 +72,7 @@
     lease_lost: bool = False
     answered: int = 0
     closing: bool = False
+    admin: bool = False
 
     def may_start(self, ask: Ask) -> bool:
         """Whether nothing unfinished stands before a new command."""
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -49,7 +49,8 @@
     """One gateway on bound sockets, until `stop`."""
     notes = Notes(settings.logs, worker=number)
     gateway = Gateway(settings, notes)
-    gateway.start(sockets)
+    # With several workers the first one serves operators: the others share only the clients' port.
+    gateway.start(sockets, listen(settings.admin_listen) if settings.admin_listen and number == 0 else None)
     follower = None
     if settings.roster_file:
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -88,13 +88,17 @@
 
     # ---- Life ----
 
-    def start(self, sockets: list[socket.socket]) -> None:
-        """Serve on bound sockets, with the roster of the settings."""
-        self._sockets = sockets
+    def start(self, sockets: list[socket.socket], admin: list[socket.socket] | None = None) -> None:
+        """Serve on bound sockets, with the roster of the settings; `admin` ones are for operators."""
+        self._sockets = [*sockets, *(admin or ())]
         self.feed(m.Started())
         self.list(boxes_of(self.settings))
         for one in sockets:
             self._removers.append(add_accept_handler(one, self._accept))
+        for one in admin or ():
+            self._removers.append(
+                add_accept_handler(one, lambda sock, address: self._accept(sock, address, admin=True))
+            )
         self._sweeper.start()
 
     def list(self, boxes: tuple[m.Box, ...]) -> None:
@@ -234,7 +238,7 @@
 
     # ---- Clients ----
 
-    def _accept(self, sock: socket.socket, address: object) -> None:
+    def _accept(self, sock: socket.socket, address: object, admin: bool = False) -> None:
         stream = IOStream(sock, max_buffer_size=1 << 30, max_write_buffer_size=self.settings.limits.client_output_bytes)
         if len(self._clients) >= self.settings.limits.clients:
             stream.write(error("ERR max number of clients reached")).add_done_callback(lambda _: stream.close())
@@ -245,7 +249,7 @@
         client = Client(self._last_client, stream)
         self._clients[client.number] = client
         peer = f"{address[0]}:{address[1]}" if isinstance(address, tuple) else "unix"
-        self.feed(m.Opened(client.number, peer))
+        self.feed(m.Opened(client.number, peer, admin))
         task = asyncio.ensure_future(self._serve(client))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -8,6 +8,7 @@
 
 from oatlink.core.commands import SLOTS
 
+LOOPBACK = ("127.", "[::1]", "localhost:", "unix:")
 Positive = Annotated[int, Meta(gt=0)]
 NotNegative = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(gt=0, le=1)]
@@ -134,6 +135,8 @@
     cold: Cold = Cold()
     logs: Logs = Logs()
     metrics_listen: str = ""
+    admin_listen: str = ""
+    admin_beyond_loopback: bool = False
     roster_file: str = ""
     drain_ms: Positive = 1_500
     record_file: str = ""
@@ -154,6 +157,11 @@
             yield f"listen[{at}]: expected host:port or unix:PATH, got {address!r}"
     if settings.metrics_listen and not address_fits(settings.metrics_listen):
         yield f"metrics_listen: expected host:port, got {settings.metrics_listen!r}"
+    if settings.admin_listen:
+        if not address_fits(settings.admin_listen):
+            yield f"admin_listen: expected host:port or unix:PATH, got {settings.admin_listen!r}"
+        elif not settings.admin_beyond_loopback and not settings.admin_listen.startswith(LOOPBACK):
+            yield "admin_listen: expected an address of loopback, or admin_beyond_loopback: true"
     yield from _check_banks(settings.banks)
     yield from _check_classes(settings.classes)
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -15,6 +15,7 @@
 from oatlink.core.explain import explain
 from oatlink.core.recording import Recording, replay
 from oatlink.gateway.server import Gateway, listen
+from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.settings import load
 from tests.test_engine import KEY, PLAIN, Rig, info, sent
@@ -184,6 +185,53 @@
     asyncio.run(once())
 
 
+def test_operators_have_a_port_of_their_own_that_bears_a_thousand_questions_a_second() -> None:
+    async def test() -> None:
+        embedded = Embedded(2, 3, 1)
+        end = await embedded.start()
+        gateway = Gateway(embedded.settings(0, log_level="error"))
+        clients, admins = listen("127.0.0.1:0"), listen("127.0.0.1:0")
+        gateway.start(clients, admins)
+        wire = await Wire.open(clients[0].getsockname()[1])
+        admin = await Wire.open(admins[0].getsockname()[1])
+        await wire.ask("HELLO", 3)
+        await admin.ask("HELLO", 3)
+        assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+
+        async def question(count: int) -> None:
+            for number in range(count):
+                found = await admin.ask(["MEMBERS", "BANKS", "ELECTIONS", "SESSIONS", "INFO"][number % 5])
+                assert not isinstance(found, resp.Error)
+
+        asking = asyncio.ensure_future(question(1_000))
+        served = 0
+        while not asking.done():
+            assert await wire.ask("GET", "a") == b"1"
+            served += 1
+        await asking
+        assert served > 100
+        members = await admin.ask("MEMBERS")
+        assert isinstance(members, resp.Array) and len(members.items) == 6
+        assert await admin.ask("INSPECT") == resp.Simple(b"OK")
+        assert isinstance(await admin.ask("GET", "a"), resp.Error)
+        assert isinstance(await wire.ask("MEMBERS"), resp.Error)
+        await embedded.banks[0].hand_over()
+        seen = 0
+        for _ in range(100):
+            await admin.ask("INSPECT")
+            await asyncio.sleep(0.01)
+            elections = await admin.ask("ELECTIONS")
+            assert isinstance(elections, resp.Array)
+            seen = len(elections.items)
+            if seen > 2:
+                break
+        assert seen > 2
+        await gateway.stop()
+        end()
+
+    asyncio.run(test())
+
+
 def test_the_witness_changes_nothing() -> None:
     data = recorded([(0, 0), (1, 1), (5, 40), (0, 2), (3, 1), (5, 200), (1, 3), (2, 2), (0, 9)])
     recording = Recording(data)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,6 +38,7 @@
         (("[0, 16383]", "[0, 16383], [5, 6]"), "f: banks[0].slots[1]: expected slots of its own, 5 is also in"),
         (("'write', e", "'wrong', e"), "f: classes[0].freshness: invalid enum value 'wrong'"),
         (("}],\n}", "}],\n"), "f:"),
+        (("}],\n}", "}], admin_listen: '0.0.0.0:1' }"), "f: admin_listen: expected an address of loopback"),
         (("name: 'b'", "name: 'x'"), "f: banks[0].members[0].name: expected a name of its own, 'x' is also banks[0]"),
     ],
 )
