--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -18,7 +18,7 @@
 import click
 import uvloop
 
-from oatlink.lab.embedded import CLASSES, free_port
+from oatlink.lab.embedded import CLASSES, port_of, reserve
 from oatlink.protocols.resp import command
 
 
@@ -86,7 +86,8 @@
             boxes = json.loads(bank.stdout.readline())["banks"]["bank-0"]
             members = [{"name": name, "address": address} for name, address in boxes.items()]
             target = int(members[1]["address"].rsplit(":")[-1])
-            ports = free_port(), free_port()
+            held = reserve(), reserve()
+            ports = port_of(held[0]), port_of(held[1])
             relay = start("-m", "benchmarks.relay", str(ports[0]), str(target), *(["--uvloop"] if same_loop else []))
             assert relay.stdout is not None
             relay.stdout.readline()
--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -4,12 +4,11 @@
 import json
 import sys
 import time
-from pathlib import Path
 
 import click
 
 from oatlink import __version__
-from oatlink.cli.operators import check, explain_command, fail, status
+from oatlink.cli.operators import check, explain_command, fail, read_recording, status
 from oatlink.core.recording import Recording, RecordingError, replay
 from oatlink.gateway.links import DialError
 from oatlink.gateway.run import bind, on_signals, run, spoken
@@ -164,14 +163,7 @@
     Exit 0: no difference. Exit 1: at least one; the first is shown with its request. Damage ends the reading at its
     place, which is said on stderr; what lies before it is replayed.
     """
-    try:
-        recording = Recording(Path(file).read_bytes(), file)
-    except OSError as error:
-        fail(f"{file}: {error.strerror}")
-        return
-    except RecordingError as error:
-        fail(str(error))
-        return
+    recording = read_recording(file)
     if against:
         _drive(recording, against, pace, as_json)
         return
--- a/oatlink/cli/operators.py
+++ b/oatlink/cli/operators.py
@@ -32,6 +32,17 @@
     sys.exit(2)
 
 
+def read_recording(file: str) -> Recording:
+    """A recording from a file, or one line and exit 2."""
+    try:
+        return Recording(Path(file).read_bytes(), file)
+    except OSError as error:
+        fail(f"{file}: {error.strerror}")
+    except RecordingError as error:
+        fail(str(error))
+    raise AssertionError("fail() ends the process")
+
+
 def ask_info(address: str, timeout_s: float = 3.0) -> Sections:
     """The sections of a running gateway's INFO. Raises `AskError`."""
     host, _, port = address.rpartition(":")
@@ -204,14 +215,7 @@
 
     The guards are the Router's own, asked during a replay. Exit 1: the recording does not know the request.
     """
-    try:
-        recording = Recording(Path(file).read_bytes(), file)
-    except OSError as error:
-        fail(f"{file}: {error.strerror}")
-        return
-    except RecordingError as error:
-        fail(str(error))
-        return
+    recording = read_recording(file)
     account = explain(recording.header, recording.entries(), request)
     if recording.damage:
         click.echo(f"oatlink: {recording.damage}", err=True)
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -420,6 +420,9 @@
             how = "reset"
         except ProtocolError:
             how = "bad reply"
+        except Exception as error:  # a probe that never ends would leave its box unasked for ever
+            how = "reset"
+            self._shell.wrong(f"probe of {self.name}: {type(error).__name__}: {error}")
         if how != "reply":
             info = b""
             if self._probe is not None:
@@ -489,6 +492,10 @@
         """Hand the engine an input."""
         raise NotImplementedError
 
+    def wrong(self, text: str) -> None:
+        """A defect of ours that must not stop the gateway: told to the people on call."""
+        raise NotImplementedError
+
     def turn(self) -> "Turn":
         """A stretch of work at whose end everything written is flushed."""
         raise NotImplementedError
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -168,6 +168,10 @@
         """See `Shell.turn`."""
         return self._turn
 
+    def wrong(self, text: str) -> None:
+        """See `Shell.wrong`."""
+        self.notes.note("fault", text)
+
     def dirty(self, connection: Connection) -> None:
         """See `Shell.dirty`."""
         self._dirty_links.append(connection)
