--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -2,6 +2,8 @@
 
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import hypothesis
@@ -17,19 +19,27 @@
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig
 
 
-def recorded(steps: list[tuple[int, int]]) -> bytes:
-    """A short history of an engine, recorded."""
-    recorder = Recorder("test", SETTINGS, 1_000_000_000)
+@contextmanager
+def traced(recorder: Recorder) -> Iterator[list[bytes]]:
+    """Record all that engines do meanwhile; the frames, header first."""
     parts = [recorder.header]
     original = Engine.handle
 
-    def traced(self: Engine, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
+    def handle(self: Engine, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
         effects = original(self, given, now_us)
         parts.append(recorder.add(now_us, given, effects))
         return effects
 
-    Engine.handle = traced  # type: ignore[method-assign]
+    Engine.handle = handle  # type: ignore[method-assign]
     try:
+        yield parts
+    finally:
+        Engine.handle = original  # type: ignore[method-assign]
+
+
+def recorded(steps: list[tuple[int, int]]) -> bytes:
+    """A short history of an engine, recorded."""
+    with traced(Recorder("test", SETTINGS, 1_000_000_000)) as parts:
         rig = Rig()
         for what, number in steps:
             if what < 2:
@@ -38,8 +48,6 @@
                 rig.end(rig.sent[number % len(rig.sent)], how=["reply", "reset", "no room"][what - 2])
             else:
                 rig.pass_us(number * 3_000)
-    finally:
-        Engine.handle = original  # type: ignore[method-assign]
     return b"".join(parts)
 
 
--- a/tests/test_redact.py
+++ b/tests/test_redact.py
@@ -4,13 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oatlink.core import messages as m
 from oatlink.core.classify import Classifier, slots_of
 from oatlink.core.commands import find, idempotency_key, slot_of
-from oatlink.core.engine import Engine
 from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.core.redact import Redactor, tag_of
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, info
+from tests.test_recording import traced
 
 HASHED = msgspec.structs.replace(SETTINGS, record_redact="keys")
 KEYS = st.one_of(
@@ -63,18 +62,8 @@
 
 
 def test_a_redacted_recording_replays_without_a_difference() -> None:
-    rig = Rig()
-    recorder = Recorder("test", HASHED, rig.now)
-    parts = [recorder.header]
-    original = Engine.handle
-
-    def traced(self: Engine, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
-        effects = original(self, given, now_us)
-        parts.append(recorder.add(now_us, given, effects))
-        return effects
-
-    Engine.handle = traced  # type: ignore[method-assign]
-    try:
+    recorder = Recorder("test", HASHED, 1_000_000_000)
+    with traced(recorder) as parts:
         rig = Rig()
         for number in range(60):
             send = rig.ask(
@@ -89,8 +78,6 @@
             if number == 30:
                 rig.says["p"], rig.says["r"] = b"", info("primary", 100, "h2", "r", "h1", 101)
             rig.pass_us(40_000)
-    finally:
-        Engine.handle = original  # type: ignore[method-assign]
     data = b"".join(parts)
     assert b"topsecret" not in data and KEY.encode() not in data.split(b"key_pattern")[0][len(recorder.header) :]
     recording = Recording(data)
