--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -870,18 +870,18 @@
                 self._say(session, error("ERR MULTI calls can not be nested"))
                 return
             session.queued = []
-            self._say(session, b"+OK\r\n")
+            self._say(session, OK)
         elif spec.name == "watch":
             self._watch(session, spec, args)
         elif spec.name == "unwatch":
             self._release(session)
-            self._say(session, b"+OK\r\n")
+            self._say(session, OK)
         elif session.queued is None:
             self._say(session, error(f"ERR {spec.name.upper()} without MULTI"))
         elif spec.name == "discard":
             session.forget_transaction()
             self._release(session)
-            self._say(session, b"+OK\r\n")
+            self._say(session, OK)
         else:
             self._exec(session)
 
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -126,7 +126,7 @@
             return
         data, self.out = (self.out[0] if len(self.out) == 1 else b"".join(self.out)), []
         try:
-            self.stream.write(data).add_done_callback(_swallow)
+            self.stream.write(data).add_done_callback(swallow)
         except (StreamClosedError, StreamBufferFullError):
             self.close("reset")
 
@@ -178,7 +178,8 @@
                 self.link.ended(one.send, how, one.sent_us, [], b"")
 
 
-def _swallow(future: "asyncio.Future[None]") -> None:
+def swallow(future: "asyncio.Future[None]") -> None:
+    """A write that failed is told by its stream's end; the future need not be asked."""
     if not future.cancelled():
         future.exception()
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -12,7 +12,7 @@
 
 from oatlink.core import messages as m
 from oatlink.core.snapshot import take
-from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn
+from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
 from oatlink.gateway.recorder import FileRecorder, start_engine, write_snapshot
@@ -324,7 +324,7 @@
 
             def taken(future: "asyncio.Future[None]", size: int = len(data)) -> None:
                 client.unsent -= size
-                _swallow(future)
+                swallow(future)
 
             written.add_done_callback(taken)
             client.written = written
@@ -333,8 +333,3 @@
                 stream.close()
             else:
                 client.written.add_done_callback(lambda _: stream.close())
-
-
-def _swallow(future: "asyncio.Future[None]") -> None:
-    if not future.cancelled():
-        future.exception()
--- a/oatlink/standins/box.py
+++ b/oatlink/standins/box.py
@@ -29,7 +29,6 @@
     Map,
     Null,
     ProtocolError,
-    ReplyReader,
     bulk,
     command,
     encode,
@@ -247,7 +246,6 @@
             stream.close()
 
     async def _sync(self, stream: IOStream) -> None:
-        reader = ReplyReader()
         for words in (
             ("PING",),
             ("REPLCONF", "listening-port", self.port),
@@ -276,7 +274,6 @@
                 self.replid = line[1].decode()
         else:
             raise ProtocolError("no synchronisation")
-        del reader
         self.link_up = True
         await stream.write(self._ack())
         queue: deque[tuple[float, list[bytes], int]] = deque()
