Recordings rotate, start in service and span a reload; oatlink record

A recording had to begin with a gateway's first input, so it could neither be bounded by letting old files go nor be started in an incident, and a reload did not exist, so none could span one. Record/Recorded are an effect and an input, Reloaded an input; core/reload.py decides what may change in service. Router.configure is drawn out of its constructor. Passwords no longer reach a recording: the header had them.

--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -8,7 +8,7 @@
 import click
 
 from oatlink import __version__
-from oatlink.cli.operators import check, explain_command, fail, read_recording, status
+from oatlink.cli.operators import check, explain_command, fail, read_recording, record, status
 from oatlink.core.recording import Recording, RecordingError, replay
 from oatlink.gateway.links import DialError
 from oatlink.gateway.run import bind, on_signals, run, spoken
@@ -64,7 +64,7 @@
 @main.command()
 @click.argument("file", metavar="SETTINGS.jsonnet")
 def gateway(file: str) -> None:
-    """Run a gateway by a settings file, until SIGINT or SIGTERM.
+    """Run a gateway by a settings file, until SIGINT or SIGTERM; SIGHUP has it read the file again.
 
     Prints `ready ADDRESS` once it serves. With `workers` above 1 that many processes share the listeners and
     nothing else.
@@ -76,7 +76,7 @@
         fail(f"{file}: listen: {error.strerror or error}")
         return
     shown = spoken(sockets[0].getsockname())
-    sys.exit(run(settings, sockets, None, lambda: click.echo(f"ready {shown}")))
+    sys.exit(run(settings, sockets, None, lambda: click.echo(f"ready {shown}"), file))
 
 
 @main.command()
@@ -152,23 +152,35 @@
 
 
 @main.command("replay")
-@click.argument("file", metavar="RECORDING")
+@click.argument("files", metavar="RECORDING...", nargs=-1, required=True)
 @click.option("--settings", "other", default="", metavar="FILE", help="Replay under these settings: what would differ.")
 @click.option("--against", default="", metavar="HOST:PORT", help="Drive a running gateway and compare how it answers.")
 @click.option("--pace", default=1.0, show_default=True, help="With --against: 2 is half as fast, 0 at once.")
-@click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
-def replay_command(file: str, other: str, against: str, pace: float, as_json: bool) -> None:
-    """Feed a recording's inputs to the engine as it is now and compare every effect.
+@click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout, a file each.")
+def replay_command(files: tuple[str, ...], other: str, against: str, pace: float, as_json: bool) -> None:
+    """Feed recordings' inputs to the engine as it is now and compare every effect, each part by itself.
 
     Exit 0: no difference. Exit 1: at least one; the first is shown with its request. Damage ends the reading at its
     place, which is said on stderr; what lies before it is replayed.
     """
-    recording = read_recording(file)
-    if against:
-        _drive(recording, against, pace, as_json)
-        return
+    differ = False
+    for file in files:
+        recording = read_recording(file)
+        if against:
+            differ |= _drive(recording, against, pace, as_json)
+        else:
+            differ |= _replay(file, recording, _settings(other) if other else None, as_json)
+    sys.exit(1 if differ else 0)
+
+
+def _replay(file: str, recording: Recording, other: Settings | None, as_json: bool) -> bool:
+    """Replay one part and show it; whether it differs."""
     began = time.perf_counter()
-    found = replay(recording.header, recording.entries(), _settings(other) if other else None)
+    try:
+        found = replay(recording.header, recording.entries(), other)
+    except RecordingError as error:
+        fail(f"{file}: {error}")
+        raise
     took = time.perf_counter() - began
     if recording.damage:
         click.echo(f"oatlink: {recording.damage}; replayed up to there", err=True)
@@ -176,6 +188,8 @@
     data = {
         "program": recording.header.program,
         "settings_hash": recording.header.settings_hash,
+        "part": recording.header.part,
+        "from_snapshot": bool(recording.header.snapshot),
         "inputs": found.inputs,
         "decisions": found.decisions,
         "differences": found.differences,
@@ -200,16 +214,16 @@
             for name, effects in (("recorded", first.recorded), ("replayed", first.replayed)):
                 for one in effects:
                     click.echo(f"  {name}: {one!r:.300}")
-    sys.exit(1 if found.differences else 0)
+    return bool(found.differences)
 
 
-def _drive(recording: Recording, against: str, pace: float, as_json: bool) -> None:
-    """`replay --against`: exit 1 where a command ended otherwise than it did when recorded."""
+def _drive(recording: Recording, against: str, pace: float, as_json: bool) -> bool:
+    """`replay --against`: whether a command ended otherwise than it did when recorded."""
     try:
         compared = asyncio.run(drive(clients_of(recording), against, pace))
     except (RecordingError, DialError) as error:
         fail(f"{against}: {error}")
-        return
+        raise
     rows = [
         {"command": name, "recorded": then, "now": now, "count": count}
         for (name, then, now), count in sorted(compared.pairs.items())
@@ -220,7 +234,7 @@
         for row in rows:
             click.echo(f"{row['command']}: {row['recorded']} then, {row['now']} now: {row['count']}")
         click.echo(f"{compared.differences} ended otherwise")
-    sys.exit(1 if compared.differences else 0)
+    return bool(compared.differences)
 
 
 @main.command("what-if")
@@ -231,9 +245,10 @@
 
     Exit 0: none. Exit 1: some; the first is named. What comes after it is no longer the same history.
     """
-    click.get_current_context().invoke(replay_command, file=file, other=other)
+    click.get_current_context().invoke(replay_command, files=(file,), other=other)
 
 
 main.add_command(check)
 main.add_command(explain_command)
+main.add_command(record)
 main.add_command(status)
--- a/oatlink/cli/operators.py
+++ b/oatlink/cli/operators.py
@@ -15,7 +15,7 @@
 from oatlink.core.explain import explain
 from oatlink.core.recording import Recording, RecordingError
 from oatlink.gateway.server import Gateway
-from oatlink.protocols.resp import ProtocolError, ReplyReader, Verbatim, command, decode
+from oatlink.protocols.resp import Error, ProtocolError, ReplyReader, Simple, Value, Verbatim, command, decode
 from oatlink.settings import SettingsError, load
 from oatlink.settings.model import Logs
 
@@ -43,8 +43,8 @@
     raise AssertionError("fail() ends the process")
 
 
-def ask_info(address: str, timeout_s: float = 3.0) -> Sections:
-    """The sections of a running gateway's INFO. Raises `AskError`."""
+def ask(address: str, *words: str, timeout_s: float = 3.0) -> Value:
+    """A running gateway's answer to one command. Raises `AskError`, also where the answer is an error."""
     host, _, port = address.rpartition(":")
     if not port.isdigit():
         raise AskError(f"{address}: expected host:port")
@@ -52,7 +52,7 @@
     try:
         with socket.create_connection((host.strip("[]"), int(port)), timeout_s) as one:
             one.settimeout(timeout_s)
-            one.sendall(command("INFO"))
+            one.sendall(command(*words))
             while (frame := reader.take()) is None:
                 data = one.recv(65_536)
                 if not data:
@@ -63,9 +63,17 @@
         raise AskError(f"{address}: {error.strerror or error}") from None
     except ProtocolError as error:
         raise AskError(f"{address}: not RESP: {error}") from None
+    if isinstance(value, Error):
+        raise AskError(f"{address}: {value.text.decode('utf-8', 'replace')}")
+    return value
+
+
+def ask_info(address: str) -> Sections:
+    """The sections of a running gateway's INFO. Raises `AskError`."""
+    value = ask(address, "INFO")
     text = value.data if isinstance(value, Verbatim) else value
     if not isinstance(text, bytes):
-        raise AskError(f"{address}: INFO was answered with an error")
+        raise AskError(f"{address}: INFO was not answered with text")
     return read_sections(text.decode("utf-8", "replace"), address)
 
 
@@ -206,6 +214,25 @@
     sys.exit(1 if idle or differ else 0)
 
 
+@click.command()
+@click.argument("address", metavar="HOST:PORT")
+@click.argument("word", metavar="WORD", type=click.Choice(["start", "stop", "dump", "status"]))
+def record(address: str, word: str) -> None:
+    """Start, stop or write down a running gateway's recording; HOST:PORT is its admin_listen.
+
+    start: record to files from now on, beginning with the gateway's whole state. stop: end that. dump: write the ring
+    in memory (record: 'ring') to files beside record_file. status: what is recorded now. With workers, the first one.
+
+    Exit 0: done, the line names the files. Exit 2: not done, and why.
+    """
+    try:
+        value = ask(address, "RECORD", word)
+    except AskError as error:
+        fail(str(error))
+        return
+    click.echo(value.text.decode("utf-8", "replace") if isinstance(value, Simple) else str(value))
+
+
 @click.command("explain")
 @click.argument("file", metavar="RECORDING")
 @click.argument("request", type=int)
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -95,33 +95,8 @@
     """Decides for one gateway, by the Router and the modules beside it."""
 
     def __init__(self, settings: Settings, now_us: int = 0, router: type[Router] = Router) -> None:
-        self.settings = settings
-        self._classifier = Classifier(settings)
-        bounds = [one.staleness_ms for one in settings.classes if one.freshness == "bounded"]
-        self._sample_us = min(bounds, default=1_000) * 1_000 // PROBE_PARTS
-        self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
-        limits, cold = settings.limits, settings.cold
-        self.router = router(
-            api.Settings(
-                seed=settings.seed,
-                zone=settings.hall,
-                classes=tuple(to_rule(one) for one in self._classifier.classes),
-                peers=settings.peers,
-                step_us=STEP_US,
-                max_attempts=limits.attempts,
-                max_open=limits.open_requests,
-                may_probe=True,
-                may_cancel=False,
-                second_copies=True,
-                max_retry_after_us=limits.retry_after_max_ms * 1000,
-                router_remembers_sessions=True,
-                cold_share=cold.share,
-                warm_after_us=cold.warm_after_ms * 1000,
-                overload_factor=cold.overload_factor,
-                fall_us=cold.fall_ms * 1000,
-            )
-        )
-        self._local = Local(settings, self._info)
+        self._configure(settings)
+        self.router = router(router_settings(settings, self._classifier))
         self._groups = [GroupState(Positions()) for _ in settings.banks]
         self._boxes: dict[str, BoxState] = {}
         self._check_waits: dict[str, BoxState] = {}
@@ -139,6 +114,7 @@
         self._started_us = now_us
         self._now = now_us
         self._out: list[m.AnyEffect] = []
+        self.fresh = True  # no input yet, nothing taken over
         self.counts: dict[str, int] = {"served": 0, "refused": 0, "failed": 0, "local": 0}
         self._handlers: dict[type, Callable[[m.AnyInput], None]] = {
             m.Started: self._on_started,
@@ -153,12 +129,23 @@
             m.Ticked: self._on_ticked,
             m.Draining: self._on_draining,
             m.Inspected: self._on_inspected,
+            m.Reloaded: self._on_reloaded,
+            m.Recorded: self._on_recorded,
         }
 
+    def _configure(self, settings: Settings) -> None:
+        """What follows from the settings alone."""
+        self.settings = settings
+        self._classifier = Classifier(settings)
+        bounds = [one.staleness_ms for one in settings.classes if one.freshness == "bounded"]
+        self._sample_us = min(bounds, default=1_000) * 1_000 // PROBE_PARTS
+        self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
+        self._local = Local(settings, self._info)
+
     def handle(self, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
         """Take one input and return the effects it calls for, in order. Time must not run backwards."""
         self._now = max(self._now, now_us)
-        self._out = []
+        self._out, self.fresh = [], False
         self._handlers[type(given)](given)
         self._due()
         return self._out
@@ -168,6 +155,11 @@
         """Whether no client is owed an answer."""
         return not any(one.places for one in self._sessions.values())
 
+    @property
+    def sessions(self) -> Mapping[int, Session]:
+        """The clients' sessions by number; to look at only."""
+        return self._sessions
+
     @property
     def names(self) -> dict[int, str]:
         """The boxes behind the Router's member numbers."""
@@ -227,6 +219,13 @@
     def _on_ticked(self, given: m.AnyInput) -> None:
         self._wake_us = 2**62
 
+    def _on_reloaded(self, given: m.AnyInput) -> None:
+        """New settings, checked before; what is on its way keeps its class and its deadline."""
+        assert isinstance(given, m.Reloaded)
+        self._configure(given.settings)
+        self.router.configure(router_settings(given.settings, self._classifier))
+        self._out.append(m.Note("reload", "the new settings hold from now on"))
+
     def _due(self) -> None:
         """All that has come due; then one wake-up for what comes next."""
         now = self._now
@@ -966,13 +965,18 @@
     def _administer(self, session: Session, args: list[bytes]) -> None:
         """A command on the operators' listener: a few of the specification's, and the words of `ADMIN`."""
         name = args[0].upper()
+        if name == b"RECORD" and len(args) == 2:
+            session.recording.append(Place())
+            session.places.append(session.recording[-1])
+            self._out.append(m.Record(session.client, args[1][:16].decode("utf-8", "replace").lower()))
+            return
         if name in ADMIN and len(args) == 1:
             self._say(session, encode(self._admin_value(name), session.protocol))
             return
         spec = find(args[0])
         if spec is None or spec.name not in ("ping", "info", "hello", "auth", "client", "command", "quit", "echo"):
             words = " ".join(sorted(one.decode() for one in ADMIN))
-            self._say(session, error(f"ERR not served to operators; they have INFO, PING and {words}"))
+            self._say(session, error(f"ERR not served to operators; they have INFO, PING, RECORD WORD and {words}"))
         elif not spec.arity_fits(len(args)):
             self._say(session, error(f"ERR wrong number of arguments for '{spec.name}' command"))
         elif not self._local.admits(session, spec):
@@ -980,6 +984,15 @@
         else:
             self._answer_locally(session, spec, args)
 
+    def _on_recorded(self, given: m.AnyInput) -> None:
+        """The recorder has done what an operator asked."""
+        assert isinstance(given, m.Recorded)
+        session = self._sessions.get(given.client)
+        if session is not None and session.recording:
+            text = given.text.encode("utf-8", "replace")
+            session.recording.popleft().answer = encode(Simple(text)) if given.done else error("ERR " + given.text)
+            self._flush(session)
+
     def _admin_value(self, name: bytes) -> Value:
         """What an operators' word shows; `INSPECT` asks every box anew and shows nothing."""
         now = self._now
@@ -1064,6 +1077,29 @@
         }
 
 
+def router_settings(settings: Settings, classifier: Classifier) -> api.Settings:
+    """The Router's part of the settings."""
+    limits, cold = settings.limits, settings.cold
+    return api.Settings(
+        seed=settings.seed,
+        zone=settings.hall,
+        classes=tuple(to_rule(one) for one in classifier.classes),
+        peers=settings.peers,
+        step_us=STEP_US,
+        max_attempts=limits.attempts,
+        max_open=limits.open_requests,
+        may_probe=True,
+        may_cancel=False,
+        second_copies=True,
+        max_retry_after_us=limits.retry_after_max_ms * 1000,
+        router_remembers_sessions=True,
+        cold_share=cold.share,
+        warm_after_us=cold.warm_after_ms * 1000,
+        overload_factor=cold.overload_factor,
+        fall_us=cold.fall_ms * 1000,
+    )
+
+
 def _table(fields: Mapping[str, object]) -> Value:
     """A row for operators."""
     return Map(tuple((key.encode(), one if isinstance(one, int) else str(one).encode()) for key, one in fields.items()))
--- a/oatlink/core/explain.py
+++ b/oatlink/core/explain.py
@@ -11,8 +11,7 @@
 
 from oatlink import interface as api
 from oatlink.core import messages as m
-from oatlink.core.engine import Engine
-from oatlink.core.recording import Entry, Header
+from oatlink.core.recording import Entry, Header, engine_of
 from oatlink.rules import Router
 from oatlink.state import Member, Request
 
@@ -31,6 +30,7 @@
 class Choice(msgspec.Struct, frozen=True):
     """One time that the Router looked for a member. `chosen` is empty where it found none."""
 
+    request: int
     at_us: int
     chosen: str
     need_ms: int
@@ -53,19 +53,20 @@
 
     def __init__(self, settings: api.Settings) -> None:
         super().__init__(settings)
-        self.wanted = ""
+        self.wanted: str | None = ""  # None: every request
         self.seen: list[Choice] = []
         self.names: dict[int, str] = {}
 
     def _choose(self, request: Request) -> Member | None:
-        if request.id != self.wanted:
+        if self.wanted is not None and request.id != self.wanted:
             return super()._choose(request)
         # The guards are asked before the choice: it may ask for a report, which holds a member back.
         rows = [self._row(request, member) for member in self._groups[request.group].members.values()]
         found = super()._choose(request)
         chosen = self.names.get(found.entry.member, "") if found is not None else ""
         need = self._need(request) if request.rule.freshness is not api.Freshness.WRITE else -1
-        self.seen.append(Choice(self._now, chosen, (self._now - need) // 1000 if need >= 0 else -1, rows))
+        need_ms = (self._now - need) // 1000 if need >= 0 else -1
+        self.seen.append(Choice(int(request.id), self._now, chosen, need_ms, rows))
         return found
 
     def _row(self, request: Request, member: Member) -> Candidate:
@@ -104,13 +105,13 @@
 
 def explain(header: Header, entries: Iterator[Entry], request: int) -> Account:
     """Replay a recording and tell of one request. `events` is empty where the recording does not know it."""
-    engine = Engine(header.settings, header.began_us, router=Witness)
+    engine = engine_of(header, router=Witness)
     witness = engine.router
     assert isinstance(witness, Witness)
     witness.wanted = str(request)
     account = Account(request, choices=witness.seen)
+    witness.names = engine.names
     for entry in entries:
-        witness.names = engine.names
         before = engine.last_request
         effects = engine.handle(entry.given, entry.now_us)
         if before < request <= engine.last_request and isinstance(entry.given, m.Asked):
@@ -132,3 +133,19 @@
         if account.events and engine.request(request) is None and before >= request:
             break
     return account
+
+
+def told(header: Header, entries: Iterator[Entry]) -> Iterator[tuple[int, str, str]]:
+    """For each recorded send of all requests: the request, what the witness saw chosen last, where it was sent."""
+    engine = engine_of(header, router=Witness)
+    witness = engine.router
+    assert isinstance(witness, Witness)
+    witness.wanted = None
+    witness.names = engine.names
+    for entry in entries:
+        witness.seen.clear()
+        engine.handle(entry.given, entry.now_us)
+        last = {one.request: one.chosen for one in witness.seen}
+        for effect in entry.effects:
+            if isinstance(effect, m.Send):
+                yield effect.request, last.get(effect.request, "nobody"), effect.box
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from oatlink.settings.model import Settings
+
 
 class Box(msgspec.Struct, frozen=True, gc=False):
     """A member as discovery lists it; `bank` is its number in the settings."""
@@ -107,6 +109,20 @@
     """An operator wants fresh news of every box."""
 
 
+class Reloaded(Input, frozen=True):
+    """The settings file has been read again and may be used from now on (`oatlink.core.reload`)."""
+
+    settings: Settings
+
+
+class Recorded(Input, frozen=True, gc=False):
+    """What came of a `Record`: a line for the operator who asked."""
+
+    client: int
+    text: str
+    done: bool = True
+
+
 # ---- Effects ----
 
 
@@ -155,6 +171,13 @@
     lease: int
 
 
+class Record(Effect, frozen=True, gc=False):
+    """An operator wants the recording started, stopped, written down or told of; a `Recorded` must follow."""
+
+    client: int
+    word: str
+
+
 class Probe(Effect, frozen=True, gc=False):
     """Ask a box for its report."""
 
@@ -189,5 +212,20 @@
     box: str = ""
 
 
-AnyInput = Started | Listed | Opened | Closed | Asked | Broken | Ended | Met | Probed | Ticked | Draining | Inspected
-AnyEffect = Answer | Hangup | Send | Release | Probe | DropIdle | Wake | Note | Counted
+AnyInput = (
+    Started
+    | Listed
+    | Opened
+    | Closed
+    | Asked
+    | Broken
+    | Ended
+    | Met
+    | Probed
+    | Ticked
+    | Draining
+    | Inspected
+    | Reloaded
+    | Recorded
+)
+AnyEffect = Answer | Hangup | Send | Release | Record | Probe | DropIdle | Wake | Note | Counted
--- a/oatlink/core/recording.py
+++ b/oatlink/core/recording.py
@@ -1,9 +1,11 @@
-"""What went into the engine and what came out, as frames; and the replay of them. No I/O.
+"""What went into the engine and what came out, as frames in parts; and the replay of them. No I/O.
 
-A recording is `MAGIC`, then frames: four bytes of length, eight of checksum (xxHash64 of the payload), a payload in
-msgpack. The first payload is a `Header`, each later one an `Entry`. A recording begins with the engine's first input,
-so that a replay needs nothing else; the engine is deterministic, so that the same inputs give the same effects, byte
-for byte. What may live here: the format, its reading up to any damage, and the comparison.
+A part is `MAGIC`, then frames: four bytes of length, eight of checksum (xxHash64 of the payload), a payload in
+msgpack. The first payload is a `Header`, each later one an `Entry`. The first part of a gateway's life begins with the
+engine's first input; every other one begins with a snapshot, so that each part replays without the ones before it,
+which may be gone. The engine is deterministic: the same inputs give the same effects, byte for byte.
+
+What may live here: the format, where parts end and which are let go, its reading up to any damage, the comparison.
 """
 
 from collections import deque
@@ -14,22 +16,29 @@
 
 from oatlink.core import messages as m
 from oatlink.core.engine import Engine
-from oatlink.core.redact import Redactor, comparable
+from oatlink.core.redact import Redactor, comparable, without_secrets
+from oatlink.core.snapshot import SnapshotError, restore, take
+from oatlink.rules import Router
 from oatlink.settings.load import settings_hash
 from oatlink.settings.model import Settings
 
-MAGIC = b"OATREC\x00\x01"  # the last byte is the format's version
+MAGIC = b"OATREC\x00\x02"  # the last byte is the format's version
 MAX_FRAME = 256 * 1024 * 1024  # bytes; a longer length is damage
 FRAME_HEAD = 12
 
 
 class Header(msgspec.Struct, frozen=True):
-    """What the engine was made with. `began_us` is the time handed to its constructor."""
+    """What the engine was made with. `began_us`: when it was made, or when the snapshot was taken.
+
+    The settings are without their secrets, `settings_hash` is of those with them. `part` counts from 1 in a life.
+    """
 
     program: str
     settings_hash: str
     settings: Settings
     began_us: int
+    part: int = 1
+    snapshot: bytes = b""
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -54,29 +63,101 @@
     return len(payload).to_bytes(4, "big") + xxhash.xxh64_digest(payload) + payload
 
 
+class Part:
+    """One part as it grows; `size` is in bytes, its header left out."""
+
+    def __init__(self, number: int, header: bytes) -> None:
+        self.number, self.size = number, 0
+        self.frames = [header]
+
+
 class Recorder:
-    """Makes frames of what an engine does, and keeps the newest ones in a ring of bounded size."""
+    """Cuts what an engine does into parts of about `part_bytes`, and keeps the newest `parts` of them in memory.
+
+    The whole kept is bounded by `parts` times `part_bytes`, a snapshot and one input each above that. With `ring` off
+    nothing is kept: frames go to whoever writes them.
+    """
 
-    def __init__(self, program: str, settings: Settings, began_us: int, ring_bytes: int = 1 << 20) -> None:
+    def __init__(
+        self,
+        program: str,
+        settings: Settings,
+        began_us: int,
+        *,
+        part_bytes: int = 1 << 20,
+        parts: int = 2,
+        ring: bool = True,
+        engine: Engine | None = None,
+    ) -> None:
+        """With `engine`, what is recorded begins with its state, unless it is as new."""
         self.redactor = Redactor(settings)
         self._redacts = settings.record_redact != "none"
-        self.header = MAGIC + frame(_encoder.encode(Header(program, settings_hash(settings), settings, began_us)))
-        self.ring: deque[bytes] = deque()
-        self._ring_bytes = ring_bytes
-        self._held = 0
+        self._program, self._settings, self._ring = program, settings, ring
+        self.part_bytes, self.parts = part_bytes, parts
+        self.kept: deque[Part] = deque()
+        self.inputs = 0
+        begun = engine is not None and not engine.fresh
+        self.header = self._begin(began_us, self._state(engine, began_us) if engine is not None and begun else b"")
+
+    def _begin(self, began_us: int, snapshot: bytes) -> bytes:
+        number = self.kept[-1].number + 1 if self.kept else 1
+        header = Header(
+            self._program, settings_hash(self._settings), without_secrets(self._settings), began_us, number, snapshot
+        )
+        data = MAGIC + frame(_encoder.encode(header))
+        self.kept.append(Part(number, data if self._ring else b""))
+        while len(self.kept) > self.parts:
+            self.kept.popleft()
+        return data
+
+    @property
+    def oldest(self) -> int:
+        """The number of the oldest part that is kept; those before it may go."""
+        return self.kept[0].number
+
+    @property
+    def full(self) -> bool:
+        """Whether the next part must begin. Its snapshot does not count: a large state must not cut ever faster."""
+        return self.kept[-1].size >= self.part_bytes
+
+    def _state(self, engine: Engine, now_us: int) -> bytes:
+        return take(engine, now_us, self.redactor.hidden)
+
+    def cut(self, engine: Engine, now_us: int) -> bytes:
+        """Begin a part with the engine's state as it is now; returns its header. Between inputs only."""
+        self._settings = engine.settings
+        self.header = self._begin(now_us, self._state(engine, now_us))
+        return self.header
 
     def add(self, now_us: int, given: m.AnyInput, effects: list[m.AnyEffect]) -> bytes:
-        """The frame of one input; it is also kept in the ring, from which the oldest make room."""
+        """The frame of one input."""
+        given = self.redactor.given(given)
         if self._redacts:
-            given, effects = self.redactor.given(given), comparable(effects, True)
+            effects = comparable(effects, True)
         data = frame(_encoder.encode(Entry(now_us, given, effects)))
-        self.ring.append(data)
-        self._held += len(data)
-        while self._held > self._ring_bytes and len(self.ring) > 1:
-            self._held -= len(self.ring.popleft())
+        part = self.kept[-1]
+        part.size += len(data)
+        self.inputs += 1
+        if self._ring:
+            part.frames.append(data)
         return data
 
 
+def engine_of(
+    header: Header, settings: Settings | None = None, router: type[Router] = Router, name: str = "recording"
+) -> Engine:
+    """The engine as it was when a part began, by other settings if given. Raises `RecordingError`."""
+    if not header.snapshot:
+        return Engine(settings or header.settings, header.began_us, router)
+    try:
+        engine = restore(header.snapshot, header.settings, name, router, header.settings_hash)
+    except SnapshotError as error:
+        raise RecordingError(str(error)) from None
+    if settings is not None:
+        engine.handle(m.Reloaded(settings), header.began_us)
+    return engine
+
+
 class Recording:
     """A recording read back. `damage` says where reading had to end, and why; empty when it was whole."""
 
@@ -150,7 +231,7 @@
 
     After a first difference the two worlds part; later ones are counted, but say little by themselves.
     """
-    engine = Engine(settings or header.settings, header.began_us)
+    engine = engine_of(header, settings)
     redacted = header.settings.record_redact != "none"
     found = Replayed()
     for entry in entries:
--- a/oatlink/core/redact.py
+++ b/oatlink/core/redact.py
@@ -8,11 +8,15 @@
 into another class (a pattern with more than a beginning), it is kept as it was: a recording that routes otherwise would
 mislead in an incident, which is what it is made for; `unredacted` counts those, and the file's writer reports them.
 
+Passwords are never recorded, whatever the rule: the settings of a recording have empty ones, and a login that was
+right carries an empty one too, so that it replays as it went.
+
 Of replies only what decides is kept: error prefixes, numbers (WAIT), and that there was one. Replays compare effects
 without payloads and answers' bytes then.
 """
 
 from functools import lru_cache
+from typing import Any
 
 import msgspec
 import xxhash
@@ -20,6 +24,7 @@
 from oatlink.core import messages as m
 from oatlink.core.classify import Classifier, slots_of
 from oatlink.core.commands import Kind, Spec, find, idempotency_key, slot_of
+from oatlink.core.sessions import Ask, Place, Session
 from oatlink.settings.model import Settings
 
 _WORDS = frozenset(
@@ -58,12 +63,18 @@
         self._keys = settings.record_redact == "keys"
         self._classifier = Classifier(settings)
         self._salt = settings.seed
+        self._settings = settings
         beginnings = {pattern for one in settings.classes for pattern in one.match.keys}
         self._beginnings = sorted({_fixed(one) for one in beginnings}, key=lambda one: (-len(one), one))
         self.unredacted = 0
 
     def given(self, one: m.AnyInput) -> m.AnyInput:
         """An input without what may not be recorded."""
+        if isinstance(one, m.Reloaded):
+            self._settings = one.settings
+            return m.Reloaded(without_secrets(one.settings))
+        if isinstance(one, m.Asked) and one.args[0].lower() in (b"auth", b"hello"):
+            return m.Asked(one.client, self._login(one.args))
         if not self._values:
             return one
         if isinstance(one, m.Asked):
@@ -79,7 +90,7 @@
             return [b"?"] + [b""] * (len(args) - 1) if len(args[0]) > 32 else [args[0]] + [b""] * (len(args) - 1)
         if spec.kind is Kind.LOCAL:
             # Names of clients and users decide classes; passwords must not be written down.
-            return [args[0], *[_plain(one) for one in args[1:]]] if spec.name in ("auth", "hello") else list(args)
+            return self._login(args) if spec.name in ("auth", "hello") else list(args)
         try:
             keys = spec.keys(args) if spec.arity_fits(len(args)) else []
         except ValueError:
@@ -98,6 +109,37 @@
                 out.append(_option(word))
         return out
 
+    def _login(self, args: list[bytes]) -> list[bytes]:
+        """AUTH and HELLO with no password: an empty one where it was right, as `without_secrets` has it, else `-`.
+
+        A known user's name stays, for classes go by it; another name may be a password in the wrong place.
+        """
+        words, auth = list(args), args[0].lower() == b"auth"
+        places = [1] if auth else [at + 1 for at in range(2, len(args)) if args[at].upper() == b"AUTH"]
+        users = {one.name: one.password for one in self._settings.users}
+        for at in places:
+            if auth and len(args) == 2:
+                words[1] = b"" if users.get("default") == args[1].decode("utf-8", "replace") else b"-"
+            elif at + 1 < len(args):
+                name, password = (one.decode("utf-8", "replace") for one in args[at : at + 2])
+                words[at] = args[at] if name in users or name == "default" else b"-"
+                words[at + 1] = b"" if users.get(name) == password else b"-"
+            elif at < len(args):
+                words[at] = b"-"
+        if auth and len(args) > 3:
+            words[3:] = [b"-"] * (len(args) - 3)
+        return words
+
+    def hidden(self, kind: type, field: str, value: Any) -> Any:
+        """What a snapshot may hold of a record's field (`snapshot.Hide`); all of it where nothing is redacted."""
+        if not self._values:
+            return value
+        if (kind is Ask and field == "payload") or (kind is Place and field == "answer" and value is not None):
+            return b""
+        if kind is Session and field == "queued" and value is not None:
+            return [(self.words(args), writes) for args, writes in value]
+        return value
+
     def _key(self, spec: Spec, args: list[bytes], key: bytes) -> bytes:
         """A key's stand-in: same beginning as its pattern, same slot, same class."""
         text = key.decode("utf-8", "surrogateescape")
@@ -115,6 +157,14 @@
         return made
 
 
+def without_secrets(settings: Settings) -> Settings:
+    """Settings as a recording has them: no password is in them."""
+    users = tuple(msgspec.structs.replace(one, password="") for one in settings.users)
+    return msgspec.structs.replace(
+        settings, users=users, links=msgspec.structs.replace(settings.links, password="")
+    )
+
+
 def comparable(effects: list[m.AnyEffect], redacted: bool) -> list[m.AnyEffect]:
     """Effects as a replay compares them: of a redacted recording without bytes of clients and servers."""
     if not redacted:
@@ -144,10 +194,6 @@
     return word if word.upper() in _WORDS else b""
 
 
-def _plain(word: bytes) -> bytes:
-    return word if word.upper() in (b"2", b"3", b"AUTH", b"SETNAME") else b""
-
-
 def _frame(frame: bytes) -> bytes:
     """What decides of a reply: an error's prefix, a number, else that there was an answer."""
     kind = frame[:1]
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -73,6 +73,7 @@
     answered: int = 0
     closing: bool = False
     admin: bool = False
+    recording: deque[Place] = field(default_factory=deque)  # asked of the recorder, not yet answered
 
     def may_start(self, ask: Ask) -> bool:
         """Whether nothing unfinished stands before a new command."""
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -23,6 +24,7 @@
 from oatlink.core import messages as m
 from oatlink.core import positions, reports, sessions
 from oatlink.core.engine import Engine
+from oatlink.rules import Router
 from oatlink.settings import model
 from oatlink.settings.load import settings_hash
 from oatlink.settings.model import Settings
@@ -56,7 +58,7 @@
 
 # What an engine is made of and not what it remembers; made anew from the settings.
 _ENGINE_MADE = frozenset(("settings", "_classifier", "router", "_local", "_handlers", "_out"))
-_ROUTER_MADE = frozenset(("_settings", "_classes", "_random", "_do"))
+_ROUTER_MADE = frozenset(("_settings", "_random", "_do"))
 
 
 class SnapshotError(Exception):
@@ -77,8 +79,13 @@
 # ---- Values ----
 
 
+Hide = Callable[[type, str, Any], Any]
+"""Given a record's type, a field's name and its value: the value that may be written down."""
+
+
 class _Writer:
-    def __init__(self) -> None:
+    def __init__(self, hide: Hide | None = None) -> None:
+        self._hide = hide
         self._seen: dict[int, int] = {}
         self._kept: list[object] = []  # so that no address is used twice meanwhile
 
@@ -103,7 +110,11 @@
         name = _NAMES.get(type(value))
         if name is None:
             raise SnapshotError(f"{type(value).__name__} is not part of a snapshot")
-        return ["i", number, name, [self.put(getattr(value, field)) for field in _fields(type(value))]]
+        kind = type(value)
+        values = [(field, getattr(value, field)) for field in _fields(kind)]
+        if self._hide is not None:
+            values = [(field, self._hide(kind, field, one)) for field, one in values]
+        return ["i", number, name, [self.put(one) for _, one in values]]
 
 
 class _Reader:
@@ -161,9 +172,9 @@
 # ---- Snapshots ----
 
 
-def take(engine: Engine, now_us: int) -> bytes:
-    """The whole state. Changes nothing; must not be called while the engine handles an input."""
-    writer = _Writer()
+def take(engine: Engine, now_us: int, hide: Hide | None = None) -> bytes:
+    """The whole state, without what `hide` leaves out. Changes nothing; not while the engine handles an input."""
+    writer = _Writer(hide)
     held = {name: writer.put(one) for name, one in vars(engine).items() if name not in _ENGINE_MADE}
     routed = {name: writer.put(one) for name, one in vars(engine.router).items() if name not in _ROUTER_MADE}
     version, numbers, gauss = engine.router._random.getstate()
@@ -187,14 +198,20 @@
         raise SnapshotError(f"{name}: {error}") from None
 
 
-def restore(data: bytes, settings: Settings, name: str = "snapshot") -> Engine:
-    """The engine as it was: the next input gives what it would have given there. Raises `SnapshotError`."""
+def restore(
+    data: bytes, settings: Settings, name: str = "snapshot", router: type[Router] = Router, known_as: str = ""
+) -> Engine:
+    """The engine as it was: the next input gives what it would have given there. Raises `SnapshotError`.
+
+    `known_as`: the hash of the settings that it was taken with, where `settings` are those without their secrets.
+    """
     head = read(data, name)
     if head.program != __version__:
         raise SnapshotError(f"{name}: taken by version {head.program}, this is {__version__}")
-    if head.settings_hash != settings_hash(settings):
-        raise SnapshotError(f"{name}: taken with settings {head.settings_hash}, these are {settings_hash(settings)}")
-    engine = Engine(settings)
+    hashed = known_as or settings_hash(settings)
+    if head.settings_hash != hashed:
+        raise SnapshotError(f"{name}: taken with settings {head.settings_hash}, these are {hashed}")
+    engine = Engine(settings, router=router)
     reader = _Reader()
     try:
         for field, one in head.engine.items():
@@ -240,4 +257,5 @@
         mine.positions = theirs.positions
     engine.router._sessions = old.router._sessions
     engine.router._forgotten_us = old.router._forgotten_us
+    engine.fresh = False
     return engine
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -12,11 +12,12 @@
 import uvloop
 
 from oatlink.core import messages as m
+from oatlink.core.reload import changes, objections
 from oatlink.discovery.file import RosterFile, follow
 from oatlink.gateway.metrics import serve
 from oatlink.gateway.notes import Notes
 from oatlink.gateway.server import Gateway, boxes_of, listen
-from oatlink.settings import Settings
+from oatlink.settings import Settings, SettingsError, load
 
 Prepare = Callable[[], Awaitable[Callable[[], None]]]
 """Starts what a gateway needs beside it; what it returns ends that."""
@@ -43,12 +44,35 @@
     return tuple(msgspec.structs.replace(box, bank=numbers[known[box.bank].name]) for box in boxes)
 
 
+def reload(gateway: Gateway, path: str, as_read: Callable[[Settings], Settings]) -> None:
+    """Read the settings file again: all of it holds from now on, or nothing does and the log says why."""
+    try:
+        new = as_read(load(path))
+    except SettingsError as error:
+        gateway.notes.note("reload refused", str(error))
+        return
+    problem = next(objections(gateway.settings, new), "")
+    if problem:
+        gateway.notes.note("reload refused", f"{path}: {problem}")
+        return
+    gateway.notes.note("reload", ", ".join(changes(gateway.settings, new)) or "nothing has changed")
+    gateway.reload(new)
+
+
 async def serve_until(
-    settings: Settings, sockets: list[socket.socket], stop: asyncio.Event, ready: Callable[[], None], number: int = 0
+    settings: Settings,
+    sockets: list[socket.socket],
+    stop: asyncio.Event,
+    ready: Callable[[], None],
+    number: int = 0,
+    source: str = "",
+    as_read: Callable[[Settings], Settings] = lambda one: one,
 ) -> None:
-    """One gateway on bound sockets, until `stop`."""
+    """One gateway on bound sockets, until `stop`; SIGHUP has it read its settings file, `source`, again."""
     notes = Notes(settings.logs, worker=number)
     gateway = Gateway(settings, notes)
+    if source:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload, gateway, source, as_read)
     # With several workers the first one serves operators: the others share only the clients' port.
     gateway.start(sockets, listen(settings.admin_listen) if settings.admin_listen and number == 0 else None)
     follower = None
@@ -94,10 +118,11 @@
     sockets: list[socket.socket],
     prepare: Prepare | None = None,
     announce: Callable[[], None] = lambda: None,
+    source: str = "",
 ) -> int:
     """Serve until a signal; returns the exit code. With several workers this process only keeps them."""
     if settings.workers == 1:
-        return uvloop.run(_alone(settings, sockets, prepare, announce))
+        return uvloop.run(_alone(settings, sockets, prepare, announce, source))
     reader, writer = os.pipe()
     children = []
     for number in range(settings.workers):
@@ -106,7 +131,7 @@
             os.close(reader)
             code = 1
             try:
-                code = uvloop.run(_worker(as_worker(settings, number), sockets, number, writer))
+                code = uvloop.run(_worker(settings, sockets, number, writer, source))
             finally:
                 sys.stderr.flush()
                 os._exit(code)
@@ -118,27 +143,38 @@
 
 
 async def _alone(
-    settings: Settings, sockets: list[socket.socket], prepare: Prepare | None, announce: Callable[[], None]
+    settings: Settings,
+    sockets: list[socket.socket],
+    prepare: Prepare | None,
+    announce: Callable[[], None],
+    source: str,
 ) -> int:
     stop = asyncio.Event()
     on_signals(stop)
     end = await prepare() if prepare is not None else None
     try:
-        await serve_until(settings, sockets, stop, announce)
+        await serve_until(settings, sockets, stop, announce, source=source)
     finally:
         if end is not None:
             end()
     return 0
 
 
-async def _worker(settings: Settings, sockets: list[socket.socket], number: int, writer: int) -> int:
+async def _worker(
+    settings: Settings, sockets: list[socket.socket], number: int, writer: int, source: str
+) -> int:
     stop = asyncio.Event()
     on_signals(stop)
 
     def tell() -> None:
         os.write(writer, b"r")
 
-    await serve_until(settings, sockets, stop, tell, number)
+    def mine(one: Settings) -> Settings:
+        if one.workers != settings.workers:
+            raise SettingsError(f"{source}: workers: expected {settings.workers} as at the start")
+        return as_worker(one, number)
+
+    await serve_until(mine(settings), sockets, stop, tell, number, source, mine)
     return 0
 
 
@@ -158,6 +194,13 @@
         announce()
     waiting: set[asyncio.Future[object]] = {loop.run_in_executor(None, os.waitpid, child, 0) for child in children}
     asked: asyncio.Future[object] = asyncio.ensure_future(stop.wait())
+
+    def pass_on() -> None:
+        for child in children:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(child, signal.SIGHUP)
+
+    loop.add_signal_handler(signal.SIGHUP, pass_on)
     done, _ = await asyncio.wait({*waiting, asked}, return_when=asyncio.FIRST_COMPLETED)
     code = 0 if asked in done else 1
     for child in children:
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -15,7 +15,7 @@
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
-from oatlink.gateway.recorder import FileRecorder, start_engine, write_snapshot
+from oatlink.gateway.recorder import Tape, start_engine, write_snapshot
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
@@ -66,9 +66,7 @@
         began_us = now_us()
         self.engine = start_engine(settings, began_us, lambda text: self.notes.note("snapshot", text))
         self._snapshot_us = began_us
-        self._recorder: FileRecorder | None = None
-        if settings.record_file:
-            self._recorder = FileRecorder(settings, began_us, lambda text: self.notes.note("recording", text))
+        self._tape = Tape(settings, self.engine, began_us, lambda text: self.notes.note("recording", text))
         limits = settings.limits
         self._limits = Limits(limits.bulk_bytes, limits.message_bytes, limits.items)
         self._clients: dict[int, Client] = {}
@@ -76,6 +74,7 @@
         self._links: dict[str, Link] = {}
         self._inputs: deque[m.AnyInput] = deque()
         self._running = False
+        self._now_us = began_us  # of the newest input
         self._turn = Turn(self._flush)
         self._dirty_links: list[Connection] = []
         self._dirty_clients: list[Client] = []
@@ -115,6 +114,15 @@
         for name in [one for one in self._links if one not in named]:
             self._links.pop(name).close()
 
+    def reload(self, settings: Settings) -> None:
+        """Use other settings, to which `core.reload` has no objection."""
+        self.settings = settings
+        for link in self._links.values():
+            link.settings = settings.links
+        self.feed(m.Reloaded(settings))
+        if not settings.roster_file:
+            self.list(boxes_of(settings))
+
     async def stop(self) -> None:
         """Take nothing new, let what is held end within `drain_ms`, close everything."""
         if self.stopping:
@@ -139,8 +147,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(0)
-        if self._recorder is not None:
-            self._recorder.close()
+        self._tape.close()
 
     @property
     def probing(self) -> bool:
@@ -151,8 +158,7 @@
         with self.turn():
             for link in self._links.values():
                 link.sweep()
-        if self._recorder is not None:
-            self._recorder.flush()
+        self._tape.flush()
         self._snapshot(self.settings.snapshot_every_ms * 1000)
 
     def _snapshot(self, after_us: int) -> None:
@@ -186,9 +192,10 @@
             try:
                 while self._inputs:
                     one, at_us = self._inputs.popleft(), now_us()
+                    self._now_us = at_us
                     effects = self.engine.handle(one, at_us)
-                    if self._recorder is not None:
-                        self._recorder.add(at_us, one, effects)
+                    if self._tape.on:
+                        self._tape.add(at_us, one, effects)
                     for effect in effects:
                         self._do(effect)
             finally:
@@ -219,6 +226,9 @@
         elif isinstance(effect, m.Release):
             for link in self._links.values():
                 link.release(effect.lease)
+        elif isinstance(effect, m.Record):
+            done, text = self._tape.do(effect.word, self._now_us)
+            self.feed(m.Recorded(effect.client, text, done))
         elif isinstance(effect, m.Hangup):
             client = self._clients.get(effect.client)
             if client is not None:
--- a/oatlink/lab/against.py
+++ b/oatlink/lab/against.py
@@ -12,7 +12,7 @@
 from tornado.iostream import StreamClosedError
 
 from oatlink.core import messages as m
-from oatlink.core.recording import Recording, RecordingError
+from oatlink.core.recording import Recording, RecordingError, engine_of
 from oatlink.gateway.links import connect
 from oatlink.protocols.resp import ProtocolError, ReplyReader, encode_command
 
@@ -26,6 +26,8 @@
     asked: list[tuple[int, list[bytes]]] = field(default_factory=list)
     reader: ReplyReader = field(default_factory=ReplyReader)
     ended: list[str] = field(default_factory=list)
+    before: int = 0  # answers still owed when the recording began
+    greeting: list[list[bytes]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -55,7 +57,20 @@
     if recording.header.settings.record_redact != "none":
         raise RecordingError("the recording is redacted: what clients sent is not in it")
     found: dict[int, Said] = defaultdict(Said)
+    operators: set[int] = set()
+    if recording.header.snapshot:
+        # What was asked before the part began is answered in it; what clients had said of themselves holds on.
+        for number, session in engine_of(recording.header).sessions.items():
+            said = found[number]
+            said.before = len(session.places)
+            said.greeting = [[b"HELLO", b"%d" % session.protocol]] if session.protocol != 2 else []
+            if session.name:
+                said.greeting.append([b"CLIENT", b"SETNAME", session.name.encode()])
+            if session.admin:
+                operators.add(number)
     for entry in recording.entries():
+        if isinstance(entry.given, m.Opened) and entry.given.admin:
+            operators.add(entry.given.client)
         if isinstance(entry.given, m.Asked):
             found[entry.given.client].asked.append((entry.now_us, entry.given.args))
         for effect in entry.effects:
@@ -63,7 +78,12 @@
                 said = found[effect.client]
                 said.reader.feed(effect.data)
                 while (frame := said.reader.take()) is not None:
-                    said.ended.append(ending(frame))
+                    if said.before:
+                        said.before -= 1
+                    else:
+                        said.ended.append(ending(frame))
+    for number in operators:
+        found.pop(number, None)
     return found
 
 
@@ -77,8 +97,11 @@
         stream = await connect(address, 3.0)
         reader = ReplyReader()
         now: list[str] = []
+        greetings = len(said.greeting)
 
         async def send() -> None:
+            for args in said.greeting:
+                await stream.write(encode_command(args))
             for at_us, args in said.asked:
                 wait = began + (at_us - first) / 1e6 * pace - time.monotonic()
                 if wait > 0:
@@ -91,7 +114,10 @@
                 async with asyncio.timeout(PATIENCE_S + (0 if sender.done() else 3_600)):
                     reader.feed(await stream.read_bytes(65_536, partial=True))
                 while (frame := reader.take()) is not None:
-                    now.append(ending(frame))
+                    if greetings:
+                        greetings -= 1
+                    else:
+                        now.append(ending(frame))
         except (StreamClosedError, ProtocolError, TimeoutError):
             pass
         sender.cancel()
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -26,18 +26,9 @@
     """Decides for one gateway."""
 
     def __init__(self, settings: api.Settings) -> None:
-        settings.validate()
-        self._settings = settings
         self._random = random.Random(settings.seed)
-        self._classes = {rule.name: rule for rule in settings.classes}
-        worth = sum(rule.worth for rule in settings.classes) or 1.0
-        # A third of the aim, weighed by worth: slower answers leave no time to hold a request or try again.
-        self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 3
-        bounds = [rule.staleness_us for rule in settings.classes if rule.freshness is Freshness.BOUNDED]
-        self._bound_us = min(bounds, default=HEARTBEAT_US)
-        self._tick_us = max(4 * settings.step_us, 20_000)  # looks are rarer than batches, finer than any aim
-        self._margin_us = 2 * settings.step_us
-        self._heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
+        self._classes: dict[str, api.RequestClass] = {}
+        self.configure(settings)
         self._groups: dict[int, Group] = {}
         self._members: dict[int, Member] = {}
         self._requests: dict[str, Request] = {}
@@ -49,7 +40,7 @@
         self._turn: float = 0.0
         self._shown, self._shown_us = 0.0, LONG_AGO
         self._answer_us = self._target_us
-        self._worth = worth / len(settings.classes)
+        self._worth = (sum(rule.worth for rule in settings.classes) or 1.0) / len(settings.classes)
         self._ask_at_us = NEVER
         self._ask_wait_us = 0
         self._due: list[tuple[int, int]] = []
@@ -58,6 +49,20 @@
         self._now = 0
         self._do: list[api.Action] = []
 
+    def configure(self, settings: api.Settings) -> None:
+        """Go by these settings from now on. What came before keeps its class, also where that is no more."""
+        settings.validate()
+        self._settings = settings
+        self._classes |= {rule.name: rule for rule in settings.classes}
+        worth = sum(rule.worth for rule in settings.classes) or 1.0
+        # A third of the aim, weighed by worth: slower answers leave no time to hold a request or try again.
+        self._target_us = sum(rule.worth * rule.aim_us for rule in settings.classes) / worth / 3
+        bounds = [rule.staleness_us for rule in settings.classes if rule.freshness is Freshness.BOUNDED]
+        self._bound_us = min(bounds, default=HEARTBEAT_US)
+        self._tick_us = max(4 * settings.step_us, 20_000)  # looks are rarer than batches, finer than any aim
+        self._margin_us = 2 * settings.step_us
+        self._heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
+
     def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
         """Take one event and return the actions that it calls for, in order."""
         self._now, self._do = now_us, []
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -140,7 +140,10 @@
     roster_file: str = ""
     drain_ms: Positive = 1_500
     record_file: str = ""
+    record: Literal["always", "on-request", "ring"] = "always"
     record_max_bytes: Positive = 1 << 30
+    record_ring_bytes: Positive = 16 << 20
+    record_parts: Annotated[int, Meta(ge=2, le=1000)] = 8
     record_redact: Literal["none", "values", "keys"] = "none"
     snapshot_file: str = ""
     snapshot_every_ms: Positive = 5_000
@@ -162,6 +165,8 @@
             yield f"admin_listen: expected host:port or unix:PATH, got {settings.admin_listen!r}"
         elif not settings.admin_beyond_loopback and not settings.admin_listen.startswith(LOOPBACK):
             yield "admin_listen: expected an address of loopback, or admin_beyond_loopback: true"
+    if settings.record != "always" and not settings.record_file:
+        yield f"record_file: expected a path, where record: {settings.record!r} writes when asked"
     yield from _check_banks(settings.banks)
     yield from _check_classes(settings.classes)
 
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,71 @@
+"""Settings that change in service: what may, what may not, and that nothing on its way is lost or replays otherwise."""
+
+import msgspec
+import pytest
+
+from oatlink.core import messages as m
+from oatlink.core.recording import Recorder, Recording, replay
+from oatlink.core.reload import FIXED, changes, objections
+from oatlink.core.snapshot import restore, take
+from oatlink.settings import Settings, load_text
+from tests.test_engine import KEY, PLAIN, SETTINGS, TEMPLATE, Rig, sent
+from tests.test_recording import traced
+
+NEW = load_text(
+    TEMPLATE.replace("'view'", "'look'").replace("staleness_ms: 500", "staleness_ms: 300").replace("'v:*'", "'k*'"),
+    "new",
+)
+
+
+def test_fixed_settings_are_settings() -> None:
+    assert set(FIXED) <= set(Settings.__struct_fields__)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ("seed: 3", "seed: 4", "seed"),
+        ("127.0.0.1:0", "127.0.0.1:7", "listen"),
+        ("hall: 'a', seed", "sessions: 'client-name', seed", "sessions"),
+        ("'one'", "'uno'", "banks"),
+        ("[0, 8191]", "[0, 8190], [8191, 8191]", "banks[0].slots"),
+    ],
+)
+def test_what_may_not_change_is_named(old: str, new: str, place: str) -> None:
+    other = load_text(TEMPLATE.replace(old, new), "other")
+    found = list(objections(SETTINGS, other))
+    assert found[0].startswith(f"{place}: expected ")
+    assert not list(objections(SETTINGS, NEW)) and changes(SETTINGS, NEW) == ["classes"]
+
+
+def test_a_class_that_is_no_more_keeps_what_came_with_it() -> None:
+    recorder = Recorder("test", SETTINGS, 1_000_000_000)
+    with traced(recorder) as parts:
+        rig = Rig()
+        write = sent(rig.ask("SET", KEY, 1))
+        assert rig.ask("GET", KEY) is None  # it waits behind the write, of a class that will be gone
+        rig.give(m.Reloaded(NEW))
+        rig.engine = restore(take(rig.engine, rig.now), NEW)
+        rig.end(write)
+        rig.end(rig.sent[-1], [b"$1\r\n1\r\n"])
+        assert rig.text() == b"+OK\r\n$1\r\n1\r\n"
+        counted = []
+        for number in range(4):
+            rig.pass_us(20_000)
+            rig.end(sent(rig.ask("GET", PLAIN)), [b"$-1\r\n"])
+            counted.append(rig.sent[-1].box)
+            rig.pass_us(number)
+        assert set(counted) & {"r", "s"}  # `look` takes these keys now, and its reads are spread
+    recording = Recording(b"".join(parts))
+    assert replay(recording.header, recording.entries()).differences == 0
+
+
+def test_a_tighter_bound_holds_from_the_next_read_on() -> None:
+    rig = Rig()
+    rig.end(sent(rig.ask("GET", KEY)))
+    tight = load_text(TEMPLATE.replace("staleness_ms: 500", "staleness_ms: 40"), "tight")
+    rig.give(m.Reloaded(tight))
+    rig.says["r"] = rig.says["s"] = b""  # nothing more is learnt of the replicas
+    rig.pass_us(60_000)
+    assert sent(rig.ask("GET", KEY)).box == "p"
+    assert rig.engine.settings is tight and msgspec.structs.asdict(rig.engine.settings)["seed"] == 3
