Holds found by index, one pump a read, and the gateway's own overload decided

Need: at 2,000 in flight the gateway served 158 session reads a second (4,122 at 32) with idle boxes: each answer tried every held read, and what the process itself took was booked on the boxes. Change: oatlink/holds.py indexes holds by need, class and end; the Router places held work once a read of answers; how long an answer lay in the process is left out of a box's time; a client's time runs from when its command came; a turn of the loop lets in 64 clients; core/overload.py refuses before anything is kept, by a limit on what is open, with growing times to come back, and the connection is not read until then. Leaving costs O(own requests).

--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -24,6 +24,7 @@
 from oatlink.core.classify import PINNED, Classifier, slots_of, to_rule
 from oatlink.core.commands import Kind, Spec, blocks, find
 from oatlink.core.local import Local, server_section
+from oatlink.core.overload import admission
 from oatlink.core.positions import Positions
 from oatlink.core.reports import BoxReport, parse_info
 from oatlink.core.sessions import Ask, Place, Session, failure, refusal
@@ -106,7 +107,6 @@
         self._asks: dict[int, Ask] = {}
         self._last_request = 0
         self._last_lease = 0
-        self._leases: dict[int, int] = {}  # lease: client
         self._ends: list[tuple[int, int]] = []  # (when, request)
         self._router_due = 2**62
         self._wake_us = 2**62
@@ -114,8 +114,11 @@
         self._started_us = now_us
         self._now = now_us
         self._out: list[m.AnyEffect] = []
+        self._late_us = 0  # how long the input has lain in this process
+        self._behind = 0  # clients that wait for this process
+        self._more = False  # inputs of the same read follow: what is held is placed after the last of them
         self.fresh = True  # no input yet, nothing taken over
-        self.counts: dict[str, int] = {"served": 0, "refused": 0, "failed": 0, "local": 0}
+        self.counts: dict[str, int] = {"served": 0, "refused": 0, "failed": 0, "local": 0, "shed": 0}
         self._handlers: dict[type, Callable[[m.AnyInput], None]] = {
             m.Started: self._on_started,
             m.Listed: self._on_listed,
@@ -141,11 +144,14 @@
         self._sample_us = min(bounds, default=1_000) * 1_000 // PROBE_PARTS
         self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
         self._local = Local(settings, self._info)
+        self._admission = admission(settings.seed, self._classifier.classes)
 
     def handle(self, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
         """Take one input and return the effects it calls for, in order. Time must not run backwards."""
         self._now = max(self._now, now_us)
         self._out, self.fresh = [], False
+        self._late_us = 0
+        self._more = False
         self._handlers[type(given)](given)
         self._due()
         return self._out
@@ -218,6 +224,8 @@
 
     def _on_ticked(self, given: m.AnyInput) -> None:
         self._wake_us = 2**62
+        if self.router.unsettled:
+            self._route(api.TimerFired("settle"))
 
     def _on_reloaded(self, given: m.AnyInput) -> None:
         """New settings, checked before; what is on its way keeps its class and its deadline."""
@@ -272,7 +280,7 @@
 
     def _route(self, event: api.Event) -> None:
         """Hand the Router an event and turn its actions into effects."""
-        for action in self.router.handle(event, self._now):
+        for action in self.router.handle(event, self._now, self._more):
             if isinstance(action, api.Send):
                 self._send(action)
             elif isinstance(action, api.SetTimer):
@@ -542,6 +550,7 @@
     def _on_ended(self, given: m.AnyInput) -> None:
         """An attempt has ended: what it says of the box, then of the request."""
         assert isinstance(given, m.Ended)
+        self._more = given.more
         state = self._boxes.get(given.box)
         if given.info and state is not None:
             self._hear(state, parse_info(given.info), given.sent_us)
@@ -634,6 +643,7 @@
         if session is None:
             return
         session.leave(ask)
+        session.asks.pop(ask.id, None)
         if not ask.started:
             session.waiting = [one for one in session.waiting if one is not ask]
         self._flush(session)
@@ -653,8 +663,7 @@
         if session is None:
             return
         self._release(session)
-        gone = [one for one in self._asks.values() if one.client == given.client and one.place.answer is None]
-        for ask in gone:
+        for ask in list(session.asks.values()):
             ask.place.answer = b""
             if ask.started:
                 self._route(api.Departure(str(ask.id)))
@@ -693,6 +702,7 @@
         session = self._sessions.get(given.client)
         if session is None or session.closing:
             return
+        self._late_us, self._behind = given.late_us, given.behind
         args = given.args
         if session.admin:
             self._administer(session, args)
@@ -766,6 +776,11 @@
         rule = self._classifier.class_of(spec, args, keys, session.user, session.name)
         if session.lease and not writes:
             rule = PINNED
+        party = session.user or f"#{session.client}"
+        back_us = self._admission.admit(self._now, self._late_us, rule, party, len(self._asks) + self._behind)
+        if back_us and not session.lease:
+            self._shed(session, rule, back_us)
+            return
         ask = self._ask(session, rule, slots, writes, encode_command(args))
         if session.lease:
             ask.lease = session.lease
@@ -775,6 +790,14 @@
             ask.replies, ask.alone = 2, True
         self._enter(session, ask)
 
+    def _shed(self, session: Session, rule: RequestClass, back_us: int) -> None:
+        """Refuse a command before anything is kept of it; its connection is not read until it may come back."""
+        self.counts["refused"] += 1
+        self.counts["shed"] += 1
+        self._out.append(m.Counted(rule.name, "shed", self._late_us))
+        self._say(session, refusal(back_us))
+        self._out.append(m.Pause(session.client, self._now + back_us))
+
     def _misplaced(self, spec: Spec, slots: list[int]) -> str:
         """Why a command has no one group, in the words of the cluster specification."""
         if slots:
@@ -808,13 +831,13 @@
             writes,
             payload,
             replies,
-            self._now,
+            self._now - self._late_us,  # the client's time runs since its command was there
             session.protocol,
         )
 
     def _enter(self, session: Session, ask: Ask) -> None:
         """Start a request, or let it wait for its client's earlier ones."""
-        self._asks[ask.id] = ask
+        self._asks[ask.id] = session.asks[ask.id] = ask
         heapq.heappush(self._ends, (ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US, ask.id))
         free = session.may_start(ask)
         session.enter(ask)
@@ -932,7 +955,6 @@
         if not session.lease:
             self._last_lease += 1
             session.lease, session.lease_box, session.lease_lost = self._last_lease, "", False
-            self._leases[self._last_lease] = session.client
         session.watching += [one for one in slots if one not in session.watching]
         ask = self._ask(session, PINNED, slots, True, encode_command(args))
         ask.lease, ask.watches = session.lease, True
@@ -956,8 +978,7 @@
 
     def _release(self, session: Session) -> None:
         if session.lease:
-            self._leases.pop(session.lease, None)
-            self._out.append(m.Release(session.lease))
+            self._out.append(m.Release(session.lease, session.lease_box))
         session.lease, session.lease_box, session.lease_lost, session.watching = 0, "", False, []
 
     # ---- What the gateway says of itself ----
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -53,10 +53,15 @@
 
 
 class Asked(Input, frozen=True):
-    """A client has sent a command."""
+    """A client has sent a command, which then waited for this process for `late_us`, at most.
+
+    `behind`: how many other clients whose commands have come still wait for it.
+    """
 
     client: int
     args: list[bytes]
+    late_us: int = 0
+    behind: int = 0
 
 
 class Broken(Input, frozen=True, gc=False):
@@ -67,7 +72,11 @@
 
 
 class Ended(Input, frozen=True):
-    """An attempt has ended. `how` is a word of `oatlink.core.outcomes.ENDINGS`; `info` a report behind it."""
+    """An attempt has ended. `how` is a word of `oatlink.core.outcomes.ENDINGS`; `info` a report behind it.
+
+    `took_us` is the box's time: how long the answer lay in this process is left out. With `more`, the same read has
+    brought further answers, which follow, or a `Ticked` does.
+    """
 
     request: int
     attempt: int
@@ -77,6 +86,7 @@
     sent_us: int
     frames: list[bytes] = []
     info: bytes = b""
+    more: bool = False
 
 
 class Met(Input, frozen=True, gc=False):
@@ -138,6 +148,13 @@
     done: int = 1
 
 
+class Pause(Effect, frozen=True, gc=False):
+    """Read nothing more from a client until then."""
+
+    client: int
+    until_us: int
+
+
 class Hangup(Effect, frozen=True, gc=False):
     """Close a client's connection once all that was answered has been written."""
 
@@ -166,9 +183,10 @@
 
 
 class Release(Effect, frozen=True, gc=False):
-    """A client's own connection is no longer needed."""
+    """A client's own connection is no longer needed; `box` is empty where it never had one."""
 
     lease: int
+    box: str = ""
 
 
 class Record(Effect, frozen=True, gc=False):
@@ -228,4 +246,4 @@
     | Reloaded
     | Recorded
 )
-AnyEffect = Answer | Hangup | Send | Release | Record | Probe | DropIdle | Wake | Note | Counted
+AnyEffect = Answer | Pause | Hangup | Send | Release | Record | Probe | DropIdle | Wake | Note | Counted
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -60,6 +60,7 @@
     peer: str = ""
     since_us: int = 0
     places: deque[Place] = field(default_factory=deque)
+    asks: dict[int, Ask] = field(default_factory=dict)  # that are owed an answer, by number
     waiting: list[Ask] = field(default_factory=list)
     busy: dict[int, list[int]] = field(default_factory=dict)  # slot: unfinished reads, writes
     queued: list[tuple[list[bytes], bool]] | None = None  # of the open MULTI: words, whether they write
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -18,11 +18,11 @@
 import msgspec
 import xxhash
 
-from oatlink import __version__, state
+from oatlink import __version__, holds, state
 from oatlink import interface as api
 from oatlink.core import engine as core
 from oatlink.core import messages as m
-from oatlink.core import positions, reports, sessions
+from oatlink.core import overload, positions, reports, sessions
 from oatlink.core.engine import Engine
 from oatlink.rules import Router
 from oatlink.settings import model
@@ -38,6 +38,8 @@
     state.Request,
     state.Member,
     state.Group,
+    holds.Row,
+    holds.Holds,
     api.RosterEntry,
     api.RequestClass,
     sessions.Place,
@@ -47,6 +49,7 @@
     core.GroupState,
     positions.Positions,
     positions.History,
+    overload.Admission,
     m.Box,
     reports.BoxReport,
     model.RequestClass,
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass, field
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 from tornado.netutil import Resolver
 
 from oatlink.core import messages as m
 from oatlink.core.reports import parse_info
+from oatlink.gateway.clock import Marks, Stream, patience
 from oatlink.protocols.resp import Limits, ProtocolError, ReplyReader, command, decode
 from oatlink.settings.model import Links, address_fits
 
@@ -28,21 +29,24 @@
     """No connection; the text is a word of `outcomes.ENDINGS`."""
 
 
-async def connect(address: str, timeout_s: float) -> IOStream:
+async def connect(address: str, timeout_s: float, marks: Marks | None = None) -> Stream:
     """A stream to host:port or unix:PATH. Raises `DialError`."""
     assert address_fits(address)
-    stream: IOStream | None = None
+    stream: Stream | None = None
+    marks = marks or Marks()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with patience(timeout_s):
             if address.startswith("unix:"):
-                stream = IOStream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), max_buffer_size=1 << 30)
-                return await stream.connect(address[5:])
+                stream = Stream(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), marks, max_buffer_size=1 << 30)
+                await stream.connect(address[5:])
+                return stream
             host, _, port = address.rpartition(":")
             found = await Resolver().resolve(host.strip("[]"), int(port))
             family, where = found[0]
-            stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=1 << 30)
+            stream = Stream(socket.socket(family, socket.SOCK_STREAM), marks, max_buffer_size=1 << 30)
             stream.set_nodelay(True)
-            return await stream.connect(where)
+            await stream.connect(where)
+            return stream
     except TimeoutError:
         if stream is not None:
             stream.close()
@@ -60,17 +64,19 @@
     send: m.Send
     sent_us: int
     wants: int
+    flushed_us: int = 0
     frames: list[bytes] = field(default_factory=list)
 
 
 class Connection:
     """One connection to a box, from its greeting to its end. Closing is idempotent; everything on it is told."""
 
-    def __init__(self, link: "Link", stream: IOStream, protocol: int) -> None:
+    def __init__(self, link: "Link", stream: Stream, protocol: int) -> None:
         self.link, self.stream, self.protocol = link, stream, protocol
         self.reader = ReplyReader(link.limits)
         self.pending: deque[Pending] = deque()
         self.out: list[bytes] = []
+        self.unflushed: list[Pending] = []
         self.run_id = ""
         self.alone = False
         self.idle_since_us = link.now()
@@ -114,6 +120,7 @@
         """Put a request on the connection; it is written at the end of this turn."""
         wants = send.replies + send.ask
         self.pending.append(Pending(send, self.link.now(), wants))
+        self.unflushed.append(self.pending[-1])
         self.alone = self.alone or send.alone
         self.out.append(send.payload)
         if send.ask:
@@ -125,6 +132,10 @@
         if not self.out or self.closed:
             return
         data, self.out = (self.out[0] if len(self.out) == 1 else b"".join(self.out)), []
+        now = self.link.now()
+        for one in self.unflushed:
+            one.flushed_us = now
+        self.unflushed.clear()
         try:
             self.stream.write(data).add_done_callback(swallow)
         except (StreamClosedError, StreamBufferFullError):
@@ -138,23 +149,40 @@
                 data = await self.stream.read_bytes(CHUNK, partial=True)
                 self.reader.feed(data)
                 with self.link.turn():
-                    while (frame := self.reader.take()) is not None:
-                        if frame[:1] == b">":
-                            continue  # out of band data that nobody asked for
-                        if not self.pending:
-                            raise ProtocolError("a reply that nothing was sent for")
-                        self._take(frame)
+                    self._take_all()
         except ProtocolError:
             how = "bad reply"
         except StreamClosedError:
             pass
         self.close(how)
 
-    def _take(self, frame: bytes) -> None:
+    def _take_all(self) -> None:
+        """All whole replies of one read. Raises `ProtocolError` once those before it are told."""
+        problem = None
+        more = False
+        frame = self.reader.take()
+        while frame is not None:
+            try:
+                following = self.reader.take()
+            except ProtocolError as found:
+                following, problem = None, found
+            if frame[:1] != b">":  # out of band data that nobody asked for is passed over
+                if not self.pending:
+                    problem, following = ProtocolError("a reply that nothing was sent for"), None
+                else:
+                    more = self._take(frame, following is not None, more)
+            frame = following
+        if more:  # more replies were announced, and none of them ended a request
+            self.link.settle()
+        if problem is not None:
+            raise problem
+
+    def _take(self, frame: bytes, follows: bool, more: bool) -> bool:
+        """One reply; whether the engine has been told that more follow."""
         head = self.pending[0]
         head.frames.append(frame)
         if len(head.frames) < head.wants:
-            return
+            return more
         self.pending.popleft()
         info = b""
         if head.send.ask:
@@ -162,8 +190,12 @@
         if not self.pending:
             self.alone = False
             self.idle_since_us = self.link.now()
-        self.link.ended(head.send, "reply", head.sent_us, head.frames, info)
+        now, ready = self.link.now(), self.stream.ready_us
+        # How long the answer had lain here is the gateway's own lateness, not the box's time.
+        took = max(0, (ready if ready > head.flushed_us else now) - head.flushed_us)
+        self.link.replied(head, took, info, follows)
         self.link.freed(self)
+        return follows
 
     def close(self, how: str) -> None:
         """End the connection; each request on it ends the same way."""
@@ -223,6 +255,17 @@
         now = self.now()
         self._shell.feed(m.Ended(send.request, send.attempt, self.name, how, now - sent_us, sent_us, frames, info))
 
+    def replied(self, one: Pending, took_us: int, info: bytes, more: bool) -> None:
+        """A request has its replies."""
+        send = one.send
+        self._shell.feed(
+            m.Ended(send.request, send.attempt, self.name, "reply", took_us, one.sent_us, one.frames, info, more)
+        )
+
+    def settle(self) -> None:
+        """Nothing follows the replies told so far."""
+        self._shell.feed(m.Ticked())
+
     def lost(self, connection: Connection) -> None:
         """A connection has closed."""
         for pool in self._pools.values():
@@ -326,10 +369,10 @@
         """Dial and greet within the time allowed. Raises `DialError`."""
         timeout_s = self.settings.connect_timeout_ms / 1000
         asked_us = self.now()
-        stream = await connect(self.address, timeout_s)
+        stream = await connect(self.address, timeout_s, self._shell.marks)
         connection = Connection(self, stream, protocol)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with patience(timeout_s):
                 info = await connection.greet(self.settings.user, self.settings.password)
         except TimeoutError:
             connection.close("reset")
@@ -403,10 +446,10 @@
         asked_us = self.now()
         info, how = b"", "reply"
         try:
-            async with asyncio.timeout(self.settings.probe_timeout_ms / 1000):
+            async with patience(self.settings.probe_timeout_ms / 1000):
                 connection = self._probe
                 if connection is None:
-                    stream = await connect(self.address, self.settings.connect_timeout_ms / 1000)
+                    stream = await connect(self.address, self.settings.connect_timeout_ms / 1000, self._shell.marks)
                     connection = self._probe = Connection(self, stream, 2)
                     asked_us = self.now()
                     info = await connection.greet(self.settings.user, self.settings.password)
@@ -429,8 +472,11 @@
             if self._probe is not None:
                 self._probe.close("reset")
         self.probes -= 1
+        took_us = self.now() - asked_us
+        if how == "reply" and self._probe is not None and self._probe.stream.ready_us > asked_us:
+            took_us = self._probe.stream.ready_us - asked_us
         with self.turn():
-            self._shell.feed(m.Probed(self.name, how, asked_us, self.now() - asked_us, info))
+            self._shell.feed(m.Probed(self.name, how, asked_us, took_us, info))
 
     # ---- Upkeep ----
 
@@ -488,6 +534,7 @@
     """What a link needs of its gateway."""
 
     now: Callable[[], int]
+    marks: Marks
 
     def feed(self, given: m.AnyInput) -> None:
         """Hand the engine an input."""
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -7,11 +7,12 @@
 from collections import deque
 
 from tornado.ioloop import IOLoop, PeriodicCallback
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets, bind_unix_socket
 
 from oatlink.core import messages as m
 from oatlink.core.snapshot import take
+from oatlink.gateway.clock import Marks, Stream, now_us
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
@@ -20,11 +21,6 @@
 from oatlink.settings.model import Settings
 
 
-def now_us() -> int:
-    """The gateway's clock: monotonic microseconds."""
-    return time.monotonic_ns() // 1000
-
-
 def boxes_of(settings: Settings) -> tuple[m.Box, ...]:
     """The roster that the settings name."""
     return tuple(
@@ -45,11 +41,13 @@
 class Client:
     """One client connection."""
 
-    def __init__(self, number: int, stream: IOStream) -> None:
+    def __init__(self, number: int, stream: Stream) -> None:
         self.number, self.stream = number, stream
         self.unanswered = 0
         self.out: list[bytes] = []
         self.hangup = False
+        self.paused_until_us = 0
+        self.resumed_us = 0  # what it sent before waited for it, not for this process
         self.unsent = 0  # bytes written that the client has not taken
         self.room: asyncio.Future[None] | None = None
         self.written: asyncio.Future[None] | None = None
@@ -61,6 +59,7 @@
     def __init__(self, settings: Settings, notes: Notes | None = None) -> None:
         self.settings = settings
         self.now = now_us
+        self.marks = Marks()
         self.notes = notes or Notes(settings.logs)
         self.metrics = Metrics()
         began_us = now_us()
@@ -224,8 +223,12 @@
             if effect.box in self._links:
                 self._links[effect.box].drop_idle()
         elif isinstance(effect, m.Release):
-            for link in self._links.values():
-                link.release(effect.lease)
+            if effect.box in self._links:
+                self._links[effect.box].release(effect.lease)
+        elif isinstance(effect, m.Pause):
+            client = self._clients.get(effect.client)
+            if client is not None:
+                client.paused_until_us = max(client.paused_until_us, effect.until_us)
         elif isinstance(effect, m.Record):
             done, text = self._tape.do(effect.word, self._now_us)
             self.feed(m.Recorded(effect.client, text, done))
@@ -253,7 +256,8 @@
     # ---- Clients ----
 
     def _accept(self, sock: socket.socket, address: object, admin: bool = False) -> None:
-        stream = IOStream(sock, max_buffer_size=1 << 30, max_write_buffer_size=self.settings.limits.client_output_bytes)
+        most_unsent = self.settings.limits.client_output_bytes
+        stream = Stream(sock, self.marks, max_buffer_size=1 << 30, max_write_buffer_size=most_unsent)
         if len(self._clients) >= self.settings.limits.clients:
             stream.write(error("ERR max number of clients reached")).add_done_callback(lambda _: stream.close())
             return
@@ -276,13 +280,18 @@
         patience_s = self.settings.limits.client_write_timeout_ms / 1000
         try:
             while True:
+                if client.paused_until_us:
+                    await self._pause(client)
                 data = await stream.read_bytes(CHUNK, partial=True)
+                came_us = max(stream.since_us, client.resumed_us)
+                await self.marks.let_in()
                 reader.feed(data)
                 while True:
                     with self._turn:
                         while client.unanswered < most and (args := reader.take()) is not None:
                             client.unanswered += 1
-                            self.feed(m.Asked(client.number, args))
+                            waited_us = max(0, now_us() - came_us)
+                            self.feed(m.Asked(client.number, args, waited_us, self.marks.waiting))
                         full = client.unanswered >= most
                     if client.unsent > most_unsent and client.written is not None:
                         # It does not take its answers: nothing more is read from it until it does. Below the
@@ -294,6 +303,7 @@
                     if client.unanswered >= most:
                         client.room = asyncio.get_running_loop().create_future()
                         await client.room
+                    came_us = now_us()  # the rest waited for its own earlier commands, not for this process
         except ProtocolError as problem:
             self.feed(m.Broken(client.number, str(problem)))
             with contextlib.suppress(StreamClosedError, TimeoutError):
@@ -307,6 +317,25 @@
             del self._clients[client.number]
             self.feed(m.Closed(client.number))
 
+    async def _pause(self, client: Client) -> None:
+        """Read nothing until the engine allows it again, or the client has left."""
+        loop = asyncio.get_running_loop()
+        over: asyncio.Future[None] = loop.create_future()
+
+        def end() -> None:
+            if not over.done():
+                over.set_result(None)
+
+        handle = loop.call_later(max(0, client.paused_until_us - now_us()) / 1e6, end)
+        client.stream.set_close_callback(end)
+        try:
+            await over
+        finally:
+            handle.cancel()
+            client.stream.set_close_callback(None)
+        client.paused_until_us = 0
+        client.resumed_us = now_us()
+
     def _answer(self, effect: m.Answer) -> None:
         client = self._clients.get(effect.client)
         if client is None:
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 
 from oatlink import interface as api
+from oatlink.holds import Holds, Kind, Row
 from oatlink.interface import Effect, Freshness, Listing, Outcome, Role, RosterKind
 from oatlink.state import LONG_AGO, NEVER, Attempt, Belief, Group, Member, Request
 
@@ -17,6 +18,7 @@
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
 LEAST_SHARE = 0.05  # of requests admitted to a group whose answers are slow: enough to see it recover
+MOST_ASKED = 2  # reports that one read may ask for before it goes to the primary
 FEW_PEERS = 4  # routers of which each may always have an attempt out (one a core) and beat as the design says
 COLD_PART = 0.7  # of what a cold member bears, given out among all routers: the rest is left for chance
 COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
@@ -30,6 +32,8 @@
         self._classes: dict[str, api.RequestClass] = {}
         self.configure(settings)
         self._groups: dict[int, Group] = {}
+        self._holds: dict[int, Holds] = {}
+        self._unsettled: dict[int, None] = {}
         self._members: dict[int, Member] = {}
         self._requests: dict[str, Request] = {}
         self._sessions: OrderedDict[str, int] = OrderedDict()
@@ -48,6 +52,7 @@
         self._stalled_us = LONG_AGO
         self._now = 0
         self._do: list[api.Action] = []
+        self._more = False
 
     def configure(self, settings: api.Settings) -> None:
         """Go by these settings from now on. What came before keeps its class, also where that is no more."""
@@ -63,9 +68,12 @@
         self._margin_us = 2 * settings.step_us
         self._heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
 
-    def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
-        """Take one event and return the actions that it calls for, in order."""
-        self._now, self._do = now_us, []
+    def handle(self, event: api.Event, now_us: int, more: bool = False) -> list[api.Action]:
+        """Take one event and return the actions that it calls for, in order.
+
+        With `more`, others of the same instant follow: what is held is placed once, after the last of them.
+        """
+        self._now, self._do, self._more = now_us, [], more
         if now_us > self._timer_us + 2 * self._tick_us:  # Threat: this router stood still, not the members
             self._stalled_us = now_us
         match event:
@@ -83,9 +91,18 @@
                 self._listed(event)
             case api.Start():
                 self._start()
+        if self._unsettled and not more:
+            unsettled, self._unsettled = self._unsettled, {}
+            for group_id in unsettled:
+                self._pump(self._groups[group_id])
         self._look_at_due()
         return self._do
 
+    @property
+    def unsettled(self) -> bool:
+        """Whether what is held waits for the last of the events that `more` has announced."""
+        return bool(self._unsettled)
+
     def belief(self, number: int) -> Belief | None:
         """What is held of a member, for people; None for one that is not listed or drains. No change."""
         member = self._members.get(number)
@@ -114,24 +131,26 @@
 
     def _look(self, group: Group) -> None:
         """What waits in a group: silent members, requests past their time, room for the held."""
-        if group.held and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
+        holds = self._holds[group.id]
+        if holds.held and group.primary is None and self._now - group.checked_us >= HOLD_CHECK_US:
             self._check_all(group)
         for member in list(group.members.values()):
             if self._now >= self._silent_at(group, member):
                 self._check(member)
-        for request in [one for one in group.held.values() if self._now >= self._give_up_at(one)]:
+        for request in holds.over(self._now, round(self._usual_us(group))):
             if any(one.out for one in request.attempts):
-                group.held.pop(request.id)
+                holds.pop(request.id)
             else:
                 self._give_up(request)
         self._pump(group)
 
     def _plan(self, group: Group) -> None:
         """When to look at a group next: soon while requests are held, else when an attempt grows overdue."""
-        if group.due_us <= self._now + (HOLD_CHECK_US // 5 if group.held else self._tick_us):
-            return  # Threat: thousands of holds, each counted again at every event
-        if group.held:
-            ends = [self._give_up_at(one) for one in group.held.values()]
+        holds = self._holds[group.id]
+        if group.due_us <= self._now + (HOLD_CHECK_US // 5 if holds.held else self._tick_us):
+            return
+        if holds.held:
+            ends = [holds.next_end(round(self._usual_us(group)))]
             ends += [one.full_until_us for one in group.members.values() if one.full_until_us > self._now]
             at_us = max(self._now + self._tick_us, min([*ends, self._now + HOLD_CHECK_US // 5]))
         else:
@@ -187,7 +206,8 @@
             if member is not None:
                 self._leave(member)
             return
-        group = self._groups.setdefault(entry.group, Group(entry.group))
+        group = self._group(entry.group)
+        group.usual_us = -1.0
         if member is None:
             # Threat: a new member is everybody's next. Its first turn, and its first token, are drawn.
             turn = self._turn - self._random.random() * (len(group.members) + 1)
@@ -211,7 +231,9 @@
             return
         member.drained = True
         self._lose(member)
-        self._groups[member.entry.group].members.pop(member.entry.member, None)
+        group = self._groups[member.entry.group]
+        group.members.pop(member.entry.member, None)
+        group.usual_us = -1.0
         self._members.pop(member.entry.member, None)
 
     # ---- Member record ----
@@ -304,6 +326,7 @@
             if member.failed_checks:
                 # Threat: a member comes back cold, with hung work in it
                 member.failed_checks, member.room, member.duration_us = 0, 1.0, 0.0
+                self._groups[member.entry.group].usual_us = -1.0
             member.check_cost_us += 0.2 * (event.duration_us - member.check_cost_us)
             self._hear(member, event.report, fresh=False)
             if member.role is Role.UNKNOWN and (event.report is None or event.report.role is Role.UNKNOWN):
@@ -355,11 +378,14 @@
             return True
         unasked = [one for one in replicas if one.checked_us < min(
             request.arrived_us, self._now - self._bound_us // 4)]
-        member = self._turn_over(unasked) if request.asked < 2 else None
+        member = self._turn_over(unasked) if request.asked < MOST_ASKED else None
         if member is None:
             return False
         request.asked += 1
         self._check(member)
+        holds = self._holds[group.id]
+        if request.asked == MOST_ASKED and request.id in holds:
+            holds.put(request, self._kind(request), self._held_need(request))
         return member.check_sent_us is not None
 
     def _check_all(self, group: Group) -> None:
@@ -446,7 +472,7 @@
         member.tokens -= 1.0
         self._turn += 1
         member.turn = self._turn
-        self._groups[request.group].held.pop(request.id, None)
+        self._holds[request.group].pop(request.id)
         self._do.append(api.Send(request.id, member.entry.member))
         return True
 
@@ -546,14 +572,15 @@
     def _arrive(self, event: api.Arrival) -> None:
         """A request has come in: send it, or hold it until its group can take it."""
         rule = self._classes[event.class_name]
-        group = self._groups.setdefault(event.group, Group(event.group))
+        group = self._group(event.group)
+        group.arrived += 1
         need = None
         if rule.freshness is Freshness.LATEST:
             need = self._now
         elif rule.freshness is Freshness.SESSION:
             need = self._session_need(event)
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
-                          event.session, need, rule.worth * self._share_worth(event.tenant))
+                          event.session, need, rule.worth * self._share_worth(event.tenant), group.arrived)
         self._requests[request.id] = request
         if group.checked_us < 0:
             self._check_all(group)  # the first request of a group asks its members who they are
@@ -563,10 +590,18 @@
         drawn = self._random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
         if drawn > group.share ** self._worth:
             self._give_up(request)
-        else:  # Threat: a tenant's flood. Past its share it does not pass what waits.
-            self._place(request, wait=bool(group.held) and request.worth < rule.worth)
+        else:  # Threat: a tenant's flood. Past its share it does not pass what waits; nor does anyone
+            # pass it to a room that an answer of this instant has freed.
+            held = bool(self._holds[group.id].held)
+            self._place(request, wait=held and (request.worth < rule.worth or group.id in self._unsettled))
         self._plan(group)
 
+    def _group(self, group_id: int) -> Group:
+        """The record of a group, made when it is first named."""
+        if group_id not in self._groups:
+            self._groups[group_id], self._holds[group_id] = Group(group_id), Holds()
+        return self._groups[group_id]
+
     def _share_worth(self, tenant: str | None) -> float:
         """What a tenant's next request counts: all within its share, little past it."""
         if tenant is None or tenant not in self._shares:
@@ -605,61 +640,86 @@
 
     def _pump(self, group: Group) -> None:
         """Send what is held for a group, the most urgent worth first, as far as there is room."""
-        if group.held and any(self._has_room(one, 1.0) for one in group.members.values()):
-            self._tidy_rows(group)
-            waiting = [(self._urgency(group.held[row[0][1]]), kind) for kind, row in group.rows.items()]
+        holds = self._holds[group.id]
+        if self._more and holds.held:
+            self._unsettled[group.id] = None
+            return
+        if holds.held and any(self._has_room(one, 1.0) for one in group.members.values()):
+            self._tidy_rows(group, holds)
+            heads = [(kind, row.oldest()) for kind, row in holds.rows.items()]
+            waiting = [(self._urgency(head), kind) for kind, head in heads if head is not None]
             heapq.heapify(waiting)
-            aside: list[tuple[tuple[str, float, bool], tuple[int, str]]] = []
+            aside: list[tuple[Request, Kind]] = []
             while waiting:
-                _, kind = heapq.heappop(waiting)
-                row = group.rows[kind]
-                request = group.held.get(row[0][1])
-                if request is not None:
-                    member = self._choose(request)
-                    if member is None or not self._send(request, member):
-                        # Threat: hundreds of holds, each tried at every answer. Where one of a class finds no
-                        # member, the later ones find none either: they need as much.
-                        if not request.tried and self._binds_all(request, group):
-                            continue
-                        aside.append((kind, row[0]))
-                heapq.heappop(row)
-                while row and row[0][1] not in group.held:
-                    heapq.heappop(row)
-                if row:
-                    heapq.heappush(waiting, (self._urgency(group.held[row[0][1]]), kind))
-            for kind, entry in aside:
-                heapq.heappush(group.rows[kind], entry)
+                urgency, kind = heapq.heappop(waiting)
+                row = holds.rows.get(kind)
+                request = self._next(group, row) if row is not None else None
+                if row is None or request is None:
+                    continue
+                if self._urgency(request) > urgency:  # older ones of its row find no member
+                    heapq.heappush(waiting, (self._urgency(request), kind))
+                    continue
+                member = self._choose(request)
+                if member is None or not self._send(request, member):
+                    row.drop(request)
+                    aside.append((request, kind))
+                if row.held:
+                    heapq.heappush(waiting, (urgency, kind))
+            for request, kind in aside:
+                holds.put(request, kind, self._held_need(request))
         self._plan(group)
 
+    def _next(self, group: Group, row: Row) -> Request | None:
+        """The oldest request of a row that finds a member now, if any does.
+
+        Threat: thousands of holds, each tried at every answer. One of a row stands for the others: all need
+        as much, or the later ones more; where needs differ (sessions), what a member of some position can
+        serve is all that needs no more than that.
+        """
+        oldest = row.oldest()
+        if oldest is None:
+            return None
+        if oldest.rule.freshness is Freshness.SESSION:
+            ready = [one for one in group.members.values()
+                     if one.role is Role.REPLICA and not self._in_doubt(one)]
+            fits = max((one.position_us for one in ready), default=LONG_AGO)
+            primary = group.members.get(group.primary) if group.primary is not None else None
+            if primary is not None and self._has_room(primary, 0.5):
+                most = fits
+            else:
+                most = max((one.position_us for one in ready if self._has_room(one, 1.0)), default=LONG_AGO)
+            beyond = row.newest(fits)
+            if beyond is not None and self._choose(beyond) is not None:
+                return oldest
+            return row.oldest(most)
+        if self._choose(oldest) is not None:
+            return oldest
+        newest = row.newest(LONG_AGO)
+        if newest is not None and newest is not oldest and oldest.rule.freshness is Freshness.BOUNDED:
+            self._choose(newest)  # no report has been asked for since it came, as one may since the oldest
+        return None
+
     def _hold(self, group: Group, request: Request) -> None:
         """Keep a request until its group can take it, in the row of its kind, the older first."""
-        group.held[request.id] = request
+        holds = self._holds[group.id]
+        holds.put(request, self._kind(request), self._held_need(request))
+        end, half, last = self._ends(request)
+        holds.ends_at(request, end - half, end, last)
+
+    def _kind(self, request: Request) -> Kind:
         late = self._now > request.arrived_us + request.rule.aim_us
-        kind = (request.rule.name, request.worth, late)
-        heapq.heappush(group.rows.setdefault(kind, []), (request.arrived_us, request.id))
-
-    def _tidy_rows(self, group: Group) -> None:
-        """Take out what is no longer held; what is late by now goes to the row of the late."""
-        for kind in list(group.rows):
-            row = group.rows[kind]
-            while row:
-                request = group.held.get(row[0][1])
-                if request is not None and (kind[2] or self._now <= request.arrived_us + request.rule.aim_us):
-                    break
-                heapq.heappop(row)
-                if request is not None:
-                    self._hold(group, request)
-            if not row:
-                del group.rows[kind]
-
-    def _binds_all(self, request: Request, group: Group) -> bool:
-        """Whether what holds a request back also holds back the later ones of its class."""
-        if request.rule.freshness is Freshness.SESSION:
-            return False
-        need = self._need(request)
-        return request.rule.freshness is not Freshness.BOUNDED or any(
-            one.role is Role.REPLICA and (one.position_us >= need or one.check_sent_us is not None)
-            and not self._in_doubt(one) for one in group.members.values())
+        return request.rule.name, request.worth, late, tuple(request.tried), request.asked >= MOST_ASKED
+
+    def _held_need(self, request: Request) -> int:
+        return self._need(request) if request.rule.freshness is Freshness.SESSION else 0
+
+    def _tidy_rows(self, group: Group, holds: Holds) -> None:
+        """What has become late since goes to the row of the late."""
+        for kind, row in list(holds.rows.items()):
+            request = None if kind[2] else row.oldest()
+            while request is not None and self._now > request.arrived_us + request.rule.aim_us:
+                holds.put(request, self._kind(request), self._held_need(request))
+                request = row.oldest()
 
     def _urgency(self, request: Request) -> tuple[float, int]:
         """What serving a held request now earns: more first, then the older."""
@@ -669,15 +729,19 @@
 
     def _give_up_at(self, request: Request) -> int:
         """When holding on stops making sense: an answer would come past the aim or the deadline."""
+        end, half, last = self._ends(request)
+        # Threat: work sent just before its end is done for nobody. The next sweep may be too late, too.
+        return min(end - min(round(self._usual_us(self._groups[request.group])), half), last)
+
+    def _ends(self, request: Request) -> tuple[int, int, int]:
+        """When an answer is too late, the most left out of that for the usual answer, the very end."""
         end = request.expires_us
         if request.rule.late_worth <= 0:
             end = min(end, request.arrived_us + request.rule.aim_us)
-        # Threat: work sent just before its end is done for nobody. The next sweep may be too late, too.
-        usual = min(self._usual_us(self._groups[request.group]), (end - request.arrived_us) / 2)
-        end = min(end - round(usual), request.expires_us - self._margin_us - self._tick_us)
+        last = request.expires_us - self._margin_us - self._tick_us
         if request.may_have_run_us is not None and request.rule.effect is Effect.KEYED:
-            end = min(end, request.may_have_run_us + request.rule.repeat_window_us - self._margin_us)
-        return end
+            last = min(last, request.may_have_run_us + request.rule.repeat_window_us - self._margin_us)
+        return end, round((end - request.arrived_us) / 2), last
 
     def _give_up(self, request: Request) -> None:
         """The final answer, at once: a refusal where trying again is harmless, else a failure."""
@@ -695,7 +759,7 @@
         """A request has ended."""
         request = self._requests.pop(request_id, None)
         if request is not None:
-            self._groups[request.group].held.pop(request_id, None)
+            self._holds[request.group].pop(request_id)
 
     def _log(self, text: str) -> None:
         """A line for the people on call."""
@@ -752,6 +816,7 @@
             member.refused = 0
             # Threat: a first guess far above what answers take keeps a member out of the turn for long.
             part = 0.1 if member.duration_us else 1.0
+            self._groups[member.entry.group].usual_us = -1.0
             member.duration_us += part * (event.duration_us - member.duration_us)
             self._answer_us += 0.05 * (event.duration_us - self._answer_us)
             request = self._requests.get(event.request)
@@ -796,5 +861,7 @@
 
     def _usual_us(self, group: Group) -> float:
         """What an answer of the group takes by what its members have shown."""
-        shown = [one.duration_us for one in group.members.values() if one.duration_us > 0]
-        return sum(shown) / len(shown) if shown else self._answer_us
+        if group.usual_us < 0:
+            shown = [one.duration_us for one in group.members.values() if one.duration_us > 0]
+            group.usual_us = sum(shown) / len(shown) if shown else 0.0
+        return group.usual_us or self._answer_us
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -32,6 +32,7 @@
     session: str | None
     need_us: int | None
     worth: float
+    number: int = 0  # counts a group's arrivals
     attempts: list[Attempt] = field(default_factory=list)
     tried: list[int] = field(default_factory=list)
     may_have_run_us: int | None = None
@@ -73,13 +74,13 @@
 
 @dataclass(slots=True)
 class Group:
-    """The members of one group and the requests held for it: by name, and in rows by class and worth."""
+    """The members of one group; the requests held for it are in `oatlink.holds`."""
 
     id: int
     members: dict[int, Member] = field(default_factory=dict)
     primary: int | None = None
-    held: dict[str, Request] = field(default_factory=dict)
-    rows: dict[tuple[str, float, bool], list[tuple[int, str]]] = field(default_factory=dict)
+    arrived: int = 0
+    usual_us: float = -1.0  # what answers take; below 0 it must be counted anew
     share: float = 1.0
     checked_us: int = LONG_AGO
     due_us: int = NEVER
