--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -117,6 +117,7 @@
         self._late_us = 0  # how long the input has lain in this process
         self._behind = 0  # clients that wait for this process
         self._more = False  # inputs of the same read follow: what is held is placed after the last of them
+        self._listed = False  # discovery has spoken once
         self.fresh = True  # no input yet, nothing taken over
         self.counts: dict[str, int] = {"served": 0, "refused": 0, "failed": 0, "local": 0, "shed": 0}
         self._handlers: dict[type, Callable[[m.AnyInput], None]] = {
@@ -145,6 +146,7 @@
         self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
         self._local = Local(settings, self._info)
         self._admission = admission(settings.seed, self._classifier.classes)
+        self._longest_pause_us = min(one.deadline_ms for one in self._classifier.classes) * 500
 
     def handle(self, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
         """Take one input and return the effects it calls for, in order. Time must not run backwards."""
@@ -161,6 +163,16 @@
         """Whether no client is owed an answer."""
         return not any(one.places for one in self._sessions.values())
 
+    @property
+    def without_primary(self) -> list[str]:
+        """The banks whose primary is not known yet."""
+        believed = {state.box.bank for state in self._boxes.values() if self._is_primary(state)}
+        return [bank.name for number, bank in enumerate(self.settings.banks) if number not in believed]
+
+    def _is_primary(self, state: BoxState) -> bool:
+        belief = self.router.belief(state.member)
+        return belief is not None and belief.primary
+
     @property
     def sessions(self) -> Mapping[int, Session]:
         """The clients' sessions by number; to look at only."""
@@ -373,6 +385,9 @@
             state.box = box
             entries.append(self._entry(state))
         self._route(api.Roster(api.RosterKind.WHOLE, tuple(entries)))
+        if not self._listed:
+            self._listed = True
+            self._on_inspected(given)  # a gateway that starts asks every box once, before anyone waits for it
 
     def _number(self, name: str) -> int:
         self._last_member += 1
@@ -796,7 +811,8 @@
         self.counts["shed"] += 1
         self._out.append(m.Counted(rule.name, "shed", self._late_us))
         self._say(session, refusal(back_us))
-        self._out.append(m.Pause(session.client, self._now + back_us))
+        # Threat: a command that came before its time and lies unread is still owed an answer within its own.
+        self._out.append(m.Pause(session.client, self._now + min(back_us, self._longest_pause_us)))
 
     def _misplaced(self, spec: Spec, slots: list[int]) -> str:
         """Why a command has no one group, in the words of the cluster specification."""
--- a/oatlink/core/overload.py
+++ b/oatlink/core/overload.py
@@ -11,8 +11,8 @@
   of its own) that has had more than `FLOOD` times what parties had on average is refused first.
 - What has waited past its time is refused whatever its worth.
 - A refused command says when to come back, spread out. That time grows while many are refused and shrinks while less
-  is open than may be. The gateway does not read from that connection until then, so that one that does not listen
-  costs no more than one that does.
+  is open than may be. The gateway does not read from that connection meanwhile, for half the shortest deadline at
+  most, so that one that does not listen costs little more than one that does.
 
 What has not been seen for `WINDOW_US` weighs nothing, and a flood that ends leaves a limit that nobody reaches. Work a
 command is O(1), counted over the parties that have gone.
@@ -46,6 +46,7 @@
     draws: int = 0
     look_us: int = 0
     down_us: int = 0  # not before this time does the limit come down again
+    late_looks: int = 0  # one after the other
     late_sum: int = 0
     most_open: int = 0  # since the last look, as the next four
     taken: int = 0
@@ -79,8 +80,10 @@
         passed = min((now_us - self.look_us) / LOOK_US, 100.0)
         count = self.taken + self.refused
         late = self.late_sum / count if count else 0.0
+        # Threat: a process that stood still for a moment. What had come meanwhile is one late look, and no queue.
+        self.late_looks = self.late_looks + 1 if late > self.target_us else 0
         if late > self.target_us:
-            if now_us >= self.down_us:
+            if now_us >= self.down_us and self.late_looks > 1:
                 part = max(0.3, self.target_us / late)
                 self.limit = max(LEAST, min(self.limit, self.most_open) * part)
                 self.down_us = now_us + round(1.5 * late)  # what is open now must be seen to have gone first
--- a/oatlink/gateway/metrics.py
+++ b/oatlink/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Figures of a gateway: counters for Prometheus, latency by class and outcome in HDR histograms."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, generate_latest
@@ -61,13 +62,18 @@
 
 
 class _Healthy(RequestHandler):
+    def initialize(self, without: Callable[[], list[str]]) -> None:
+        self.without = without
+
     def get(self) -> None:
-        self.write("ok\n")
+        missing = self.without()
+        self.write(f"ok, no primary known of {', '.join(missing)}\n" if missing else "ok\n")
 
 
-def serve(metrics: Metrics, address: str) -> HTTPServer:
-    """Serve /metrics and /health on host:port."""
+def serve(metrics: Metrics, address: str, without: Callable[[], list[str]]) -> HTTPServer:
+    """Serve /metrics and /health on host:port; `without` names the banks whose primary is not known."""
     host, _, port = address.rpartition(":")
-    server = HTTPServer(Application([("/metrics", _Shown, {"metrics": metrics}), ("/health", _Healthy)]))
+    pages: list[Any] = [("/metrics", _Shown, {"metrics": metrics}), ("/health", _Healthy, {"without": without})]
+    server = HTTPServer(Application(pages))
     server.listen(int(port), host.strip("[]"))
     return server
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -82,7 +83,14 @@
             gateway.list(boxes_from(settings, roster))
 
         follower = asyncio.ensure_future(follow(settings.roster_file, told, lambda text: notes.note("roster", text)))
-    shown = serve(gateway.metrics, settings.metrics_listen) if settings.metrics_listen and number == 0 else None
+    shown = None
+    if settings.metrics_listen and number == 0:
+        shown = serve(gateway.metrics, settings.metrics_listen, lambda: gateway.engine.without_primary)
+    end = time.monotonic() + settings.ready_wait_ms / 1000
+    while gateway.engine.without_primary and time.monotonic() < end and not stop.is_set():
+        await asyncio.sleep(0.005)
+    if gateway.engine.without_primary:
+        notes.note("ready without a primary", ", ".join(gateway.engine.without_primary))
     notes.note("serving", ", ".join(settings.listen))
     ready()
     await stop.wait()
--- a/oatlink/lab/day.py
+++ b/oatlink/lab/day.py
@@ -19,7 +19,7 @@
 
 import msgspec
 from msgspec import Meta
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from oatlink.audit.capture import Capture
 from oatlink.audit.judge import Judge, Terms, Verdict
@@ -36,7 +36,11 @@
 
 
 class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One thing that happens. `box` may be a name, `primary:BANK` or `replica:BANK`; `hall` a number."""
+    """One thing that happens. `box` may be a name, `primary:BANK` or `replica:BANK`; `hall` a number.
+
+    `crowd`: `value` connections at all gateways together ask at the same instant, each once, over all classes.
+    `flood`: one client with eight connections, `value` commands out on each all the while, until `back` has passed.
+    """
 
     at: Annotated[float, Meta(ge=0, le=1)]
     do: Literal[
@@ -53,6 +57,8 @@
         "hand_over",
         "lose_hall",
         "return_hall",
+        "crowd",
+        "flood",
     ]
     box: str = ""
     bank: int = 0
@@ -110,6 +116,20 @@
             Step(0.6, "remove", box="replica:0", back=0.3),
         )
     ),
+    "crowd": Scenario(
+        (
+            Step(0.08, "crowd", value=600),
+            Step(0.20, "lag", box="replica:0", value=1_500, back=0.5),
+            Step(0.24, "crowd", value=1_200),
+            Step(0.40, "die_on_write", box="primary:1", back=0.2),
+            Step(0.42, "crowd", value=1_200),
+            Step(0.46, "flood", value=24, back=0.2),
+            Step(0.52, "crowd", value=1_000),
+            Step(0.72, "hand_over", bank=0),
+            Step(0.73, "crowd", value=1_200),
+        ),
+        work_ms=2.0,
+    ),
     "cold": Scenario(
         (
             Step(0.1, "crash", box="replica:0", back=0.04),
@@ -193,6 +213,7 @@
         self._admin_ports = [port_of(one) for one in self._reserved[scenario.gateways :]]
         self._gateways: list[asyncio.subprocess.Process] = []
         self._tokens = 0
+        self._crowds: list[asyncio.Task[None]] = []
         self._stop_us = 0
         self._steps: list[str] = []
         self._worst_lag = 0.0
@@ -316,6 +337,7 @@
         watch = asyncio.ensure_future(self._watch_self())
         operators = [asyncio.ensure_future(self._operator(port)) for port in self._admin_ports if self._ask_every_s]
         await asyncio.gather(*clients)
+        await asyncio.gather(*self._crowds)
         self._stop_us = _now()
         for one in operators:
             one.cancel()
@@ -416,7 +438,7 @@
             if back:
                 self._undo(step, boxes)
                 continue
-            touched = await self._do(step)
+            touched = await self._do(step, number)
             self._steps.append(f"{at:.1f}s {step.do} {' '.join(one.name for one in touched)}")
             if step.back:
                 undo.append((at + step.back * self.seconds, number, step, touched))
@@ -438,7 +460,58 @@
             ][:1]
         return [self._embedded.boxes[step.box]] if step.box else []
 
-    async def _do(self, step: Step) -> list[Box]:
+    async def _gather_crowd(self, number: int, size: int) -> None:
+        """Connect them all beforehand; then they ask at once."""
+        start, kinds = asyncio.Event(), ("view", "view", "view", "check", "own", "post")
+        for at in range(size):
+            place = f"client-{kinds[at % 6]}-{at % len(self._ports)}-crowd{number}.{at}"
+            self._crowds.append(asyncio.ensure_future(self._one_of_crowd(place, at, start)))
+        await asyncio.sleep(size / 2_000)
+        start.set()
+
+    async def _one_of_crowd(self, place: str, at: int, start: asyncio.Event) -> None:
+        kind, rng = place.split("-")[1], random.Random(f"{self.seed}/{place}")
+        await asyncio.sleep(at / 3_000)
+        with contextlib.suppress(StreamClosedError):
+            stream = await connect(f"127.0.0.1:{self._ports[at % len(self._ports)]}", 5)
+            reader = ReplyReader()
+            await self._say(place, stream, command("CLIENT", "SETNAME", f"{kind}-{place.split('-', 2)[2]}"))
+            await self._hear(place, stream, reader, 1)
+            await start.wait()
+            await self._say(place, stream, self._next(kind, place, rng))
+            await self._hear(place, stream, reader, 1)
+            await asyncio.sleep(0.2)
+            stream.close()
+
+    async def _flood(self, place: str, at: int, depth: int, end_s: float) -> None:
+        rng = random.Random(f"{self.seed}/{place}")
+        with contextlib.suppress(StreamClosedError):
+            stream = await connect(f"127.0.0.1:{self._ports[at % len(self._ports)]}", 5)
+            reader = ReplyReader()
+            await self._say(place, stream, command("CLIENT", "SETNAME", f"view-{place.split('-', 2)[2]}"))
+            await self._hear(place, stream, reader, 1)
+            while time.monotonic() < end_s:
+                await self._say(place, stream, b"".join(self._next("view", place, rng) for _ in range(depth)))
+                await self._hear(place, stream, reader, depth)
+            stream.close()
+
+    async def _say(self, place: str, stream: IOStream, data: bytes) -> None:
+        self._capture.add(_now(), place, 1, True, data)
+        await stream.write(data)
+
+    async def _hear(self, place: str, stream: IOStream, reader: ReplyReader, count: int) -> None:
+        """Read so many replies, or as many as come within 5 s."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(5):
+                while count:
+                    while count and reader.take() is not None:
+                        count -= 1
+                    if count:
+                        data = await stream.read_bytes(65_536, partial=True)
+                        self._capture.add(_now(), place, 1, False, data)
+                        reader.feed(data)
+
+    async def _do(self, step: Step, number: int) -> list[Box]:
         boxes = self._find(step)
         for box in boxes:
             faults = box.faults
@@ -462,6 +535,13 @@
                 bank = next(one for one in self._embedded.banks if box in one.boxes)
                 if step.do == "drain" and box.is_primary:
                     await bank.hand_over()
+        if step.do == "crowd":
+            await self._gather_crowd(number, int(step.value))
+        elif step.do == "flood":
+            end_s = time.monotonic() + step.back * self.seconds
+            for at in range(8):
+                place = f"client-view-{at % len(self._ports)}-flood{number}.{at}"
+                self._crowds.append(asyncio.ensure_future(self._flood(place, at, int(step.value), end_s)))
         if step.do == "hand_over":
             chosen = await self._embedded.banks[step.bank].hand_over()
             boxes = [chosen] if chosen is not None else []
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -139,6 +139,7 @@
     admin_beyond_loopback: bool = False
     roster_file: str = ""
     drain_ms: Positive = 1_500
+    ready_wait_ms: NotNegative = 2_000
     record_file: str = ""
     record: Literal["always", "on-request", "ring"] = "always"
     record_max_bytes: Positive = 1 << 30
--- /dev/null
+++ b/tests/test_lateness.py
@@ -0,0 +1,201 @@
+"""The gateway's own lateness is not its boxes': measured at the streams; a process that stood still blames nobody."""
+
+import asyncio
+import json
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from oatlink.core import messages as m
+from oatlink.gateway.clock import CLIENTS_A_TURN, Marks, patience
+from oatlink.gateway.server import Gateway, listen
+from oatlink.lab.embedded import Embedded
+from oatlink.protocols import resp
+from tests.test_engine import KEY, PLAIN, Rig, sent
+from tests.test_operators import Site, run
+from tests.test_standins import Wire
+
+
+def test_a_gateway_stopped_for_a_second_cuts_no_room_loses_no_primary_and_refuses_nothing(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    text = site.settings.read_text().replace("aim_ms: 600", "aim_ms: 1700")
+    more = (
+        "{ name: 'w', freshness: 'write', effect: 'unsafe', aim_ms: 1700, deadline_ms: 5000 },"
+        "{ name: 'l', freshness: 'latest', effect: 'idempotent', aim_ms: 1700, deadline_ms: 5000 }],\n  banks:"
+    )
+    site.settings.write_text(text.replace("],\n  banks:", f", {more}"))
+    site.gateway.terminate()
+    site.gateway.wait(5)
+    site.start()
+
+    async def test() -> dict[str, dict[str, str]]:
+        wires = [await Wire.open(site.port) for _ in range(24)]
+        end = time.monotonic() + 3.0
+
+        async def load(number: int) -> None:
+            words = (("GET", "v:1"), ("SET", f"k{number}", 1), ("GET", f"k{number}"))[number % 3]
+            while time.monotonic() < end:
+                assert not isinstance(await wires[number].ask(*words), resp.Error)
+
+        loads = [asyncio.ensure_future(load(number)) for number in range(len(wires))]
+        await asyncio.sleep(0.7)
+        loop = asyncio.get_running_loop()
+        before = json.loads(await loop.run_in_executor(None, run, "status", site.address, "--json"))
+        site.gateway.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        site.gateway.send_signal(signal.SIGCONT)
+        await asyncio.gather(*loads)
+        after = json.loads(await loop.run_in_executor(None, run, "status", site.address, "--json"))
+        assert after["stats"]["requests_refused"] == after["stats"]["requests_failed"] == "0"
+        assert before["banks"] == after["banks"]  # primary and count of elections
+        for name, row in after["members"].items():
+            assert float(row["room"]) >= float(before["members"][name]["room"]), name
+        return dict(after["members"])
+
+    try:
+        members = asyncio.run(test())
+        assert members["box-0-0"]["role"] == "primary"
+    finally:
+        site.end()
+
+
+def test_roles_are_known_as_soon_as_a_gateway_is_ready(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    try:
+        shown = json.loads(run("status", site.address, "--json"))
+        assert {row["role"] for row in shown["members"].values()} == {"primary", "replica"}
+    finally:
+        site.end()
+
+
+def test_a_gateway_without_a_primary_is_ready_all_the_same(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    try:
+        text = site.settings.read_text().replace("listen:", "ready_wait_ms: 200, listen:")
+        site.settings.write_text(text)
+        site.bank.terminate()
+        site.bank.wait(5)
+        site.gateway.terminate()
+        site.gateway.wait(5)
+        site.start()
+        shown = json.loads(run("status", site.address, "--json"))
+        assert {row["role"] for row in shown["members"].values()} == {"unknown"}
+    finally:
+        site.end()
+
+
+def test_an_answer_that_lay_in_the_process_does_not_count_as_the_boxs_time() -> None:
+    """The loop is kept busy after each answer has come; what boxes took must not grow by that."""
+
+    async def test() -> None:
+        embedded = Embedded(1, 1, 1)
+        end = await embedded.start()
+        gateway = Gateway(embedded.settings(0, log_level="error"))
+        sockets = listen("127.0.0.1:0")
+        gateway.start(sockets)
+        took: list[int] = []
+        feed = gateway.feed
+
+        def watched(given: m.AnyInput) -> None:
+            if isinstance(given, m.Ended):
+                took.append(given.took_us)
+            feed(given)
+
+        gateway.feed = watched  # type: ignore[method-assign]
+        wire = await Wire.open(sockets[0].getsockname()[1])
+        loop = asyncio.get_running_loop()
+        link = gateway._links["box-0-0"]
+        for _ in range(5):
+            assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+        connection = link._pools[2].open[0]
+        handle = connection.stream._handle_events
+
+        def busy(fd: object, events: int) -> None:
+            handle(fd, events)
+            loop.call_soon(time.sleep, 0.05)  # what else this turn has to do, before the answer is looked at
+
+        quick = max(took[1:])
+        connection.stream._handle_events = busy  # type: ignore[method-assign]
+        connection.stream.io_loop.remove_handler(connection.stream.fileno())
+        connection.stream._state = None
+        connection.stream._add_io_state(connection.stream.io_loop.READ)
+        took.clear()
+        began = time.perf_counter()
+        for _ in range(5):
+            assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+        assert time.perf_counter() - began > 0.2
+        assert max(took) < quick + 30_000, (took, quick)
+        await gateway.stop()
+        end()
+
+    asyncio.run(test())
+
+
+def test_replies_of_one_read_are_told_before_what_is_held_is_placed() -> None:
+    rig = Rig()
+    rig.end(sent(rig.ask("SET", PLAIN, 0)))
+    member = rig.engine._boxes["p"].member
+    rig.engine.router._members[member].room = 2.0
+    for number in range(3, 9):
+        rig.give(m.Opened(number))
+    for number in range(3, 9):
+        rig.ask("SET", f"{{{PLAIN}}}{number}", 1, client=number)
+    assert len(rig.sent) == 3  # two out, the rest held
+    first, second = rig.sent[1:]
+    pumped = []
+    pump = rig.engine.router._pump
+    rig.engine.router._pump = lambda group: (pumped.append(rig.engine.router._more), pump(group))  # type: ignore
+    for send, more in ((first, True), (second, False)):
+        rig.give(m.Ended(send.request, send.attempt, send.box, "reply", 500, rig.now, [b"+OK\r\n"], b"", more))
+        assert len(rig.sent) == (3 if more else 5)
+    assert pumped.count(False) <= 2
+
+
+def test_announced_replies_that_do_not_come_are_settled_by_a_tick() -> None:
+    rig = Rig()
+    rig.end(sent(rig.ask("GET", KEY)))
+    rig.engine.router._members[rig.engine._boxes["p"].member].room = 1.0
+    first = sent(rig.ask("SET", PLAIN, 1))
+    assert rig.ask("SET", f"{{{PLAIN}}}2", 1, client=2) is None
+    rig.give(m.Ended(first.request, first.attempt, first.box, "reply", 500, rig.now, [b"+OK\r\n"], b"", True))
+    before = len(rig.sent)
+    rig.give(m.Ticked())
+    assert len(rig.sent) == before + 1
+
+
+def test_a_turn_lets_in_so_many_clients_in_order() -> None:
+    async def test() -> None:
+        marks, order, turns = Marks(), list[int](), list[int]()
+
+        async def client(number: int) -> None:
+            await marks.let_in()
+            order.append(number)
+            turns.append(marks._let_in)
+
+        await asyncio.gather(*[client(number) for number in range(3 * CLIENTS_A_TURN + 5)])
+        assert order == list(range(3 * CLIENTS_A_TURN + 5)) and max(turns) == CLIENTS_A_TURN
+        gone = asyncio.ensure_future(asyncio.gather(*[client(number) for number in range(2 * CLIENTS_A_TURN)]))
+        await asyncio.sleep(0)
+        gone.cancel()  # clients that leave while they wait hold nobody up
+        await asyncio.sleep(0.01)
+        assert marks.waiting == 0
+
+    asyncio.run(test())
+
+
+def test_time_for_which_the_process_stood_still_is_given_back_once() -> None:
+    async def test() -> None:
+        async with patience(0.05):
+            time.sleep(0.2)  # noqa: ASYNC251 - the process stands still
+            await asyncio.sleep(0.02)
+        with pytest.raises(TimeoutError):
+            async with patience(0.05):
+                time.sleep(0.1)  # noqa: ASYNC251
+                await asyncio.sleep(0.5)
+        with pytest.raises(TimeoutError):
+            async with patience(0.02):
+                await asyncio.sleep(1)
+
+    asyncio.run(test())
