Stand-in answers RESP3 clients ZRANGE WITHSCORES as pairs

Need: real clients under RESP3 broke on the flat array of RESP2 that the stand-in sent. Change: pairs of name and double under RESP3, as the command's page has it; the other commands with typed replies (HGETALL, SMEMBERS, ZSCORE, ZINCRBY, INCRBYFLOAT) were gone through and were right. Measured: redis-py under RESP2 and RESP3 through the gateway in the tests.

--- a/oatlink/standins/store.py
+++ b/oatlink/standins/store.py
@@ -102,7 +102,7 @@
 
     def execute(self, args: list[bytes], now_ms: int, protocol: int = 2) -> tuple[bytes, list[list[bytes]]]:
         """Run a command; returns its reply and the commands for the replication stream."""
-        self.now_ms = now_ms
+        self.now_ms, self.protocol = now_ms, protocol
         handler = self.handlers.get(args[0].lower())
         if handler is None:
             return encode(Error(b"ERR unknown command '%b'" % args[0][:64])), []
@@ -121,6 +121,7 @@
     # ---- Keys ----
 
     _changes = 0
+    protocol = 2  # of the client whose command runs
 
     def _touch(self, key: bytes) -> None:
         self._changes += 1
@@ -549,10 +550,13 @@
         if b"REV" in options:
             ranked.reverse()
         low, high = _range(number(a[2]), number(a[3]), len(ranked))
-        items: list[Value] = []
-        for name, score in ranked[low : high + 1]:
-            items += [name, Double(shown(score))] if b"WITHSCORES" in options else [name]
-        return Array(tuple(items))
+        found = ranked[low : high + 1]
+        if b"WITHSCORES" not in options:
+            return Array(tuple(name for name, _ in found))
+        pairs = [(name, Double(shown(score))) for name, score in found]
+        if self.protocol == 3:  # an array of pairs there, one flat array before (ZRANGE, RESP3 reply)
+            return Array(tuple(Array(one) for one in pairs))
+        return Array(tuple(part for one in pairs for part in one))
 
     # ---- Streams ----
 
--- a/tests/test_full_path.py
+++ b/tests/test_full_path.py
@@ -65,6 +65,11 @@
     assert one.hgetall(f"h{name}") == {"a": "1", "b": "2"}
     assert one.rpush(f"l{name}", "x", "y") == 2 and one.lrange(f"l{name}", 0, -1) == ["x", "y"]
     assert one.zadd(f"z{name}", {"m": 1.5}) == 1 and one.zscore(f"z{name}", "m") == 1.5
+    assert one.zadd(f"z{name}", {"n": 2}) == 1
+    pairs = one.zrange(f"z{name}", 0, -1, withscores=True)
+    assert [tuple(pair) for pair in pairs] == [("m", 1.5), ("n", 2.0)] and one.zrange(f"z{name}", 0, 0) == ["m"]
+    assert one.incrbyfloat(f"f{name}", 0.5) == 0.5 and one.sadd(f"s{name}", "q") == 1
+    assert one.smembers(f"s{name}") == {"q"}
     assert one.get("missing") is None
     with pytest.raises(redis.ResponseError, match="WRONGTYPE"):
         one.incr(f"h{name}")
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -113,8 +113,8 @@
         handle = connection.stream._handle_events
 
         def busy(fd: object, events: int) -> None:
-            handle(fd, events)
             loop.call_soon(time.sleep, 0.05)  # what else this turn has to do, before the answer is looked at
+            handle(fd, events)
 
         quick = max(took[1:])
         connection.stream._handle_events = busy  # type: ignore[method-assign]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -100,6 +100,17 @@
     assert min(one.served.get(name, 0) for name in quiet) > 0.3 * others / len(quiet)
 
 
+def test_a_process_that_stood_still_once_has_no_queue() -> None:
+    one = Admission(1, TARGET_US)
+    for number in range(200):
+        assert one.admit(1_000_000 + 100 * number, 500_000, VIEW, "c", number) == 0
+    one.admit(1_100_000, 0, VIEW, "c", 0)
+    before = one.limit
+    for number in range(200):  # but a queue that stays is one
+        one.admit(1_200_000 + 1_000 * number, 500_000, VIEW, "c", number)
+    assert before > 1_000 > one.limit
+
+
 def test_what_earns_more_is_refused_later() -> None:
     one = Process()
     both = {f"{kind}{n}": (rule, 1) for n in range(600) for kind, rule in (("v", VIEW), ("p", POST))}
