Engine in rooms; a gap in the clock is an input

Need: the engine's 1,157 lines held five concerns; a machine that slept made old data look young, for Positions.gap had no caller. Change: engine.py is the door and time (94 lines), behind it boxes, requests, clients, transactions and operators over the state in shared.py, which names the calls between them. No behaviour changes with that. Gapped: the gateway compares the boot clock with its own once a second; nothing shown before a gap proves anything after it.

--- /dev/null
+++ b/oatlink/core/boxes.py
@@ -0,0 +1,265 @@
+"""What boxes say, and what follows from it: identity, histories of offsets, probes, the Router's checks. No I/O.
+
+A box's life: the Router's member number stands for one run of a box on one line of history. A box that comes
+back with another run id, or whose offset goes back (a full resynchronisation), is a new member to the Router, so
+that a position it once had binds nothing (the Router keeps the higher position of a member).
+"""
+
+from oatlink import interface as api
+from oatlink.core import messages as m
+from oatlink.core import outcomes
+from oatlink.core.reports import BoxReport, parse_info
+from oatlink.core.shared import PROBE_PARTS, BoxState, Shared
+from oatlink.interface import Outcome, Role
+
+SAMPLE_WAIT_US = 10_000  # a replica's check waits so long for the primary's offset to compare with
+KEPT_ELECTIONS = 16  # a bank, for operators
+
+
+class Boxes(Shared):
+    """The members of all banks."""
+
+    @property
+    def without_primary(self) -> list[str]:
+        """The banks whose primary is not known yet."""
+        believed = {state.box.bank for state in self._boxes.values() if self._is_primary(state)}
+        return [bank.name for number, bank in enumerate(self.settings.banks) if number not in believed]
+
+    def _is_primary(self, state: BoxState) -> bool:
+        belief = self.router.belief(state.member)
+        return belief is not None and belief.primary
+
+    def _on_inspected(self, given: m.AnyInput) -> None:
+        """An operator wants to know: every box is asked, the primaries' offsets first."""
+        ordered = sorted(self._boxes.values(), key=lambda one: one.box.name != self._groups[one.box.bank].primary)
+        for state in ordered:
+            state.refreshing = True
+            self._probe(state)
+
+    def _on_listed(self, given: m.AnyInput) -> None:
+        """Discovery's whole list. A box of another address or bank under an old name is another box."""
+        assert isinstance(given, m.Listed)
+        entries = []
+        named = {one.name for one in given.boxes}
+        for name in [one for one in self._boxes if one not in named]:
+            self._boxes.pop(name)
+            self._check_waits.pop(name, None)
+        for box in given.boxes:
+            state = self._boxes.get(box.name)
+            if state is None or (state.box.address, state.box.bank) != (box.address, box.bank):
+                state = BoxState(box, self._number(box.name))
+                self._boxes[box.name] = state
+            if box.state == "terminating" and state.box.state != box.state:
+                self._out.append(m.DropIdle(box.name))
+            state.box = box
+            entries.append(self._entry(state))
+        self._route(api.Roster(api.RosterKind.WHOLE, tuple(entries)))
+        if not self._listed:
+            self._listed = True
+            self._on_inspected(given)  # a gateway that starts asks every box once, before anyone waits for it
+
+    def _number(self, name: str) -> int:
+        self._last_member += 1
+        self._names[self._last_member] = name
+        if len(self._names) > 16 * (len(self._boxes) + 64):
+            live = {one.member for one in self._boxes.values()}
+            self._names = {one: self._names[one] for one in sorted(live | {self._last_member})}
+        return self._last_member
+
+    def _entry(self, state: BoxState) -> api.RosterEntry:
+        box = state.box
+        listing = api.Listing.TERMINATING if box.state == "terminating" else api.Listing.READY
+        return api.RosterEntry(state.member, box.bank, box.hall, box.kind, listing, box.primary, state.started_us)
+
+    def _on_gapped(self, given: m.AnyInput) -> None:
+        """Nothing shown before the gap proves anything after it: every box is a new member, and is asked.
+
+        Threat: data as old as the machine's sleep looks as young as before it, and a stale read is served.
+        """
+        for group in self._groups:
+            group.positions.gap(self._now)
+        for state in list(self._boxes.values()):
+            state.report, state.asked_us = None, 0
+            self._renew(state, "is asked anew after a gap in the clock")
+        self._on_inspected(given)
+
+    def _on_met(self, given: m.AnyInput) -> None:
+        assert isinstance(given, m.Met)
+        state = self._boxes.get(given.box)
+        if state is not None:
+            self._hear(state, parse_info(given.info), given.asked_us)
+
+    def _on_probed(self, given: m.AnyInput) -> None:
+        """A probe has ended: the Router's check with it, and the checks that waited for this primary."""
+        assert isinstance(given, m.Probed)
+        state = self._boxes.get(given.box)
+        if state is None:
+            return
+        state.probe_out = False
+        if given.info:
+            report = parse_info(given.info)
+            self._hear(state, report, given.asked_us)
+            if state.check_out or state.refreshing:
+                state.check_out = state.refreshing = False
+                # An old primary on its island lives, but nothing that it holds is the group's word.
+                island = report.role == "primary" and report.replid != self._groups[state.box.bank].positions.current
+                ended = Outcome.MISS if report.loading or island else Outcome.SERVED
+                self._route(api.Checked(state.member, ended, given.took_us, self._report(state, given.asked_us)))
+        elif state.check_out:
+            state.check_out = state.refreshing = False
+            self._route(api.Checked(state.member, outcomes.ENDINGS[given.how], given.took_us))
+        else:
+            state.refreshing = False
+        group = self._groups[state.box.bank]
+        if given.box == group.primary:
+            for other in list(self._check_waits.values()):
+                if other.box.bank == state.box.bank:
+                    self._probe(other)
+
+    def _hear(self, state: BoxState, report: BoxReport, asked_us: int) -> None:
+        """Take in what a box says of itself: identity first, then the primary's offset as a sample."""
+        old = state.report
+        if not report.run_id and old is not None:  # asked behind an answer: the connection has proven the run
+            report = _with_run(report, old)
+        # Threat: a box that started again, or was filled anew, has less than it once showed.
+        again = old is not None and old.run_id and report.run_id != old.run_id
+        back = (
+            old is not None
+            and not again
+            and report.replid == old.replid
+            and 0 <= report.offset < old.offset
+            and asked_us >= state.asked_us
+        )
+        first = old is None
+        if old is None or again or back or asked_us >= state.asked_us:
+            state.report, state.asked_us = report, asked_us
+        state.heard_us = self._now
+        group = self._groups[state.box.bank]
+        if report.role == "primary" and not report.loading and report.offset >= 0:
+            # A write may have been answered within the same microsecond, after this was asked: that is not in it.
+            counted = group.positions.sample(
+                report.replid,
+                report.offset,
+                asked_us - 1,
+                self._now,
+                parent=report.replid2 or None,
+                join=report.second_offset,
+            )
+            if counted and group.primary != state.box.name:
+                group.elections += bool(group.primary)
+                group.recent = [*group.recent[1 - KEPT_ELECTIONS :], (self._now, group.primary, state.box.name)]
+                group.primary = state.box.name
+        if again or back or first:
+            warm_us = self.settings.cold.warm_after_ms * 1_000
+            if report.uptime_s >= 0 and report.uptime_s * 1_000_000 < warm_us and (first or again):
+                # Whole seconds, cut off: the latest time at which it may have started, the coldest it may be.
+                state.started_us = max(1, asked_us - report.uptime_s * 1_000_000)
+            if not first:
+                self._renew(state, "started again" if again else "was filled anew")
+            elif state.started_us:
+                self._route(api.Roster(api.RosterKind.CHANGES, (self._entry(state),)))
+
+    def _renew(self, state: BoxState, why: str) -> None:
+        """The box is a new member from now on; nothing that the old one showed binds it."""
+        gone = self._entry(state)
+        gone = api.RosterEntry(gone.member, gone.group, gone.zone, gone.kind, api.Listing.GONE)
+        state.member = self._number(state.box.name)
+        state.check_out = False
+        self._out.append(m.Note("box", f"{state.box.name} {why}"))
+        self._out.append(m.DropIdle(state.box.name))
+        self._route(api.Roster(api.RosterKind.CHANGES, (gone, self._entry(state))))
+        if state.report is not None and not state.report.loading:
+            self._route(api.Checked(state.member, Outcome.SERVED, 0, self._report(state, state.asked_us)))
+
+    def _report(self, state: BoxState, asked_us: int) -> api.Report | None:
+        """What the Router may believe: role, and the offset as a time where that is proven."""
+        report = state.report
+        if report is None:
+            return None
+        if report.role == "primary":
+            if report.replid != self._groups[state.box.bank].positions.current:
+                return api.Report(None, Role.UNKNOWN)  # an island: its history was followed by another
+            return api.Report(asked_us, Role.PRIMARY)
+        if report.role == "replica":
+            return api.Report(
+                self._groups[state.box.bank].positions.time_of(report.replid, report.offset), Role.REPLICA
+            )
+        return None
+
+    def _check(self, member: int) -> None:
+        """The Router wants a report. A replica's offset is compared with the primary's: that is asked first."""
+        state = self._boxes.get(self._names.get(member, ""))
+        if state is None or state.member != member:
+            return
+        state.check_out = True
+        group = self._groups[state.box.bank]
+        primary = self._boxes.get(group.primary)
+        fresh = self._now - group.positions.newest_us() <= self._sample_us
+        others = primary is not None and primary is not state and not state.check_waits_us
+        if primary is not None and others and not fresh and self._sample(primary):
+            state.check_waits_us = self._now + SAMPLE_WAIT_US
+            self._check_waits[state.box.name] = state
+            return
+        self._probe(state)
+
+    def _sample(self, primary: BoxState) -> bool:
+        """Ask a primary for its offset, once at a time. Whether an answer is now awaited."""
+        if not primary.probe_out and self._now - primary.informed_us >= self._sample_us // PROBE_PARTS:
+            primary.informed_us = self._now
+            self._probe(primary)
+            return True
+        return primary.probe_out and self._now - primary.informed_us < SAMPLE_WAIT_US
+
+    def _refresh(self, number: int) -> None:
+        """Keep the replicas' positions known while reads come that need one.
+
+        Threat: the Router asks for a position only when no known one fits, so one replica whose answers keep it
+        known would get all reads, and the others none. Each is asked ever more rarely the more gateways there are.
+        """
+        group = self._groups[number]
+        if self._now < group.refresh_us:
+            return
+        group.refresh_us = self._now + self._refresh_us // PROBE_PARTS
+        for state in self._boxes.values():
+            since = self._now - max(state.asked_us, state.refreshed_us)
+            if (
+                state.box.bank == number
+                and since >= self._refresh_us
+                and state.report is not None
+                and state.report.role == "replica"
+                and state.box.state == "ready"
+                and not state.probe_out
+            ):
+                state.refreshing, state.refreshed_us = True, self._now
+                self._probe(state)
+
+    def _probe(self, state: BoxState) -> None:
+        if state.check_waits_us:
+            state.check_waits_us = 0
+            self._check_waits.pop(state.box.name, None)
+        if not state.probe_out:
+            state.probe_out = True
+            self._out.append(m.Probe(state.box.name))
+
+    def _again(self, state: BoxState) -> api.Report | None:
+        """A replica's last offset compared with the samples since: it may be proven more recent by now."""
+        if state.report is None or state.report.role != "replica":
+            return None
+        found = self._report(state, state.asked_us)
+        # The role is as old as that report; only the position is told.
+        return api.Report(found.position_us) if found is not None and found.position_us is not None else None
+
+
+def _with_run(report: BoxReport, old: BoxReport) -> BoxReport:
+    return BoxReport(
+        report.role,
+        report.replid,
+        report.offset,
+        report.replid2,
+        report.second_offset,
+        old.run_id,
+        old.uptime_s,
+        report.loading,
+        report.link_up,
+        report.draining,
+    )
--- /dev/null
+++ b/oatlink/core/clients.py
@@ -0,0 +1,120 @@
+"""A client's connection: what it may say, what is answered here, the order of its answers, its leaving. No I/O."""
+
+from collections.abc import Mapping
+
+from oatlink import interface as api
+from oatlink.core import messages as m
+from oatlink.core.commands import Kind, Spec, blocks, find
+from oatlink.core.sessions import Place, Session, refusal
+from oatlink.core.shared import Shared
+from oatlink.protocols.resp import error
+
+
+class Clients(Shared):
+    """Client connections."""
+
+    @property
+    def sessions(self) -> Mapping[int, Session]:
+        """The clients' sessions by number; to look at only."""
+        return self._sessions
+
+    def _on_opened(self, given: m.AnyInput) -> None:
+        assert isinstance(given, m.Opened)
+        self._sessions[given.client] = Session(given.client, peer=given.peer, since_us=self._now, admin=given.admin)
+
+    def _on_closed(self, given: m.AnyInput) -> None:
+        """A client has left. What it asked for may be running; nothing more is sent for it."""
+        assert isinstance(given, m.Closed)
+        session = self._sessions.pop(given.client, None)
+        if session is None:
+            return
+        self._release(session)
+        for ask in list(session.asks.values()):
+            ask.place.answer = b""
+            if ask.started:
+                self._route(api.Departure(str(ask.id)))
+            if not ask.open:
+                self._asks.pop(ask.id, None)
+
+    def _on_broken(self, given: m.AnyInput) -> None:
+        """Outside the protocol: the error in its turn, then the end of the connection."""
+        assert isinstance(given, m.Broken)
+        session = self._sessions.get(given.client)
+        if session is not None and not session.closing:
+            session.closing = True
+            session.places.append(Place(error(given.text), hangup=True))
+            self._flush(session)
+
+    def _on_draining(self, given: m.AnyInput) -> None:
+        """New commands are refused from now on; what is held goes on to its end."""
+        self._draining = True
+
+    def _flush(self, session: Session) -> None:
+        parts, done, over = session.take_answers()
+        if parts:
+            session.answered += done
+            self._out.append(m.Answer(session.client, parts[0] if len(parts) == 1 else b"".join(parts), done))
+        if over:
+            self._out.append(m.Hangup(session.client))
+
+    def _say(self, session: Session, data: bytes, hangup: bool = False) -> None:
+        """An answer of the gateway's own, in its turn."""
+        session.places.append(Place(data, hangup))
+        self._flush(session)
+
+    def _on_asked(self, given: m.AnyInput) -> None:
+        """A command has come in."""
+        assert isinstance(given, m.Asked)
+        session = self._sessions.get(given.client)
+        if session is None or session.closing:
+            return
+        self._late_us, self._behind = given.late_us, given.behind
+        args = given.args
+        if session.admin:
+            self._administer(session, args)
+            return
+        spec = find(args[0])
+        if spec is None:
+            session.spoilt = session.queued is not None
+            shown = args[0][:128].decode("utf-8", "replace")
+            begin = " ".join(f"'{one[:32].decode('utf-8', 'replace')}'" for one in args[1:5])
+            self._say(session, error(f"ERR unknown command '{shown}', with args beginning with: {begin}"))
+            return
+        if not spec.arity_fits(len(args)):
+            session.spoilt = session.queued is not None
+            self._say(session, error(f"ERR wrong number of arguments for '{spec.name}' command"))
+            return
+        if not self._local.admits(session, spec):
+            self._say(session, error("NOAUTH Authentication required."))
+            return
+        if spec.kind is Kind.LOCAL:
+            self._answer_locally(session, spec, args)
+        elif spec.kind is Kind.TRANSACTION:
+            self._transaction(session, spec, args)
+        elif blocks(spec, args):
+            session.spoilt = session.queued is not None
+            self._say(
+                session,
+                error(
+                    f"ERR {spec.name} is not served by this gateway: it would wait at the server "
+                    "on a connection that others share"
+                ),
+            )
+        elif self._draining:
+            self._say(session, refusal(self.settings.limits.retry_after_max_ms * 1_000))
+        else:
+            self._request(session, spec, args)
+
+    def _answer_locally(self, session: Session, spec: Spec, args: list[bytes]) -> None:
+        if session.queued is not None and spec.name not in ("quit", "reset"):
+            session.spoilt = True
+            self._say(session, error(f"ERR {spec.name} is not served inside a transaction by this gateway"))
+            return
+        if spec.name == "reset":
+            session.forget_transaction()
+            self._release(session)
+        self.counts["local"] += 1
+        data = self._local.answer(spec, session, args)
+        quits = spec.name == "quit"
+        session.closing = session.closing or quits
+        self._say(session, data, hangup=quits)
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -119,6 +119,10 @@
     """An operator wants fresh news of every box."""
 
 
+class Gapped(Input, frozen=True, gc=False):
+    """The clock stood still while time went on (the machine slept): ages counted over it are too small."""
+
+
 class Reloaded(Input, frozen=True):
     """The settings file has been read again and may be used from now on (`oatlink.core.reload`)."""
 
@@ -243,6 +247,7 @@
     | Ticked
     | Draining
     | Inspected
+    | Gapped
     | Reloaded
     | Recorded
 )
--- /dev/null
+++ b/oatlink/core/requests.py
@@ -0,0 +1,329 @@
+"""A request's life, from the client's words to the final answer. No I/O.
+
+Asked, (waiting behind the same client's earlier ones,) handed to the Router, sent, ended, answered. It is answered
+exactly once: `_finish` is the only place that fills a client's place in the row. The Router decides which member, when
+to hold, resend, refuse or fail; here its actions become effects.
+"""
+
+import heapq
+
+from oatlink import interface as api
+from oatlink.core import messages as m
+from oatlink.core import outcomes
+from oatlink.core.classify import PINNED, slots_of
+from oatlink.core.commands import Kind, Spec
+from oatlink.core.reports import parse_info
+from oatlink.core.sessions import Ask, Place, Session, failure, refusal
+from oatlink.core.shared import Shared
+from oatlink.interface import Outcome, Role
+from oatlink.protocols.resp import command, encode_command, error
+from oatlink.settings.model import RequestClass
+
+SLACK_US = 4_000  # the last moment for a final answer lies so long before the client's time is up
+
+
+class Requests(Shared):
+    """Requests between clients and the Router."""
+
+    @property
+    def idle(self) -> bool:
+        """Whether no client is owed an answer."""
+        return not any(one.places for one in self._sessions.values())
+
+    @property
+    def last_request(self) -> int:
+        """The number of the newest request; they count from 1."""
+        return self._last_request
+
+    def request(self, number: int) -> Ask | None:
+        """A request that still has something out or is owed an answer."""
+        return self._asks.get(number)
+
+    def _route(self, event: api.Event) -> None:
+        """Hand the Router an event and turn its actions into effects."""
+        for action in self.router.handle(event, self._now, self._more):
+            if isinstance(action, api.Send):
+                self._send(action)
+            elif isinstance(action, api.SetTimer):
+                self._router_due = min(self._router_due, action.at_us)
+            elif isinstance(action, api.Check):
+                self._check(action.member)
+            elif isinstance(action, api.Refuse):
+                self._refuse(self._asks[int(action.request)], action.retry_after_us)
+            elif isinstance(action, api.Fail):
+                self._fail(self._asks[int(action.request)])
+            elif isinstance(action, api.DropIdle):
+                if action.member in self._names:
+                    self._out.append(m.DropIdle(self._names[action.member]))
+            elif isinstance(action, api.Log):
+                self._out.append(m.Note("router", self._named(action.text)))
+
+    def _named(self, text: str) -> str:
+        """A log line of the Router with names for its numbers, for people."""
+        words = text.split()
+        for at, word in enumerate(words):
+            bare = word.rstrip(":")
+            if bare.isdigit():
+                if at and words[at - 1] == "group":
+                    words[at] = self.settings.banks[int(bare)].name + word[len(bare) :]
+                elif int(bare) in self._names:
+                    words[at] = self._names[int(bare)]
+        return " ".join(words)
+
+    def _send(self, action: api.Send) -> None:
+        """An attempt begins. The Router's count of a request's sends is the attempt's number."""
+        ask = self._asks[int(action.request)]
+        name = self._names[action.member]
+        state = self._boxes[name]
+        attempt, ask.attempts = ask.attempts, ask.attempts + 1
+        ask.open[attempt] = (action.member, name, self._now)
+        until_us = ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US
+        if attempt == 0:
+            ask.first_us = self._now
+        elif ask.rule.effect == "keyed":
+            # Threat: a repeat that waits for a connection until the bank has forgotten the first one.
+            until_us = min(until_us, ask.first_us + ask.rule.repeat_window_ms * 1_000 - SLACK_US)
+        lease = ask.lease
+        session = self._sessions.get(ask.client)
+        if lease and session is not None:
+            if session.lease_box and session.lease_box != name:
+                session.lease_lost = True  # the primary has moved; what was watched there is not watched here
+            session.lease_box = session.lease_box or name
+            if session.lease_lost or session.lease != lease:
+                lease = 0
+                if ask.executes or ask.watches:
+                    # Threat: EXEC on a connection that watches nothing, WATCH on one that others share.
+                    del ask.open[attempt]
+                    self._end_unwatched(ask)
+                    self._route(api.AttemptEnded(str(ask.id), attempt, action.member, Outcome.CANCELLED, 0, over=True))
+                    return
+        wants = self._now - state.informed_us >= self._sample_us // 2 and not ask.transaction and not ask.alone
+        if wants:
+            state.informed_us = self._now
+        run_id = state.report.run_id if state.report is not None else ""
+        self._out.append(
+            m.Send(
+                ask.id, attempt, name, ask.payload, ask.replies, ask.protocol, run_id, until_us, lease, ask.alone, wants
+            )
+        )
+
+    def _expire(self, request: int) -> None:
+        """A request's time is up: every attempt still out is late, and the Router gives its last word."""
+        ask = self._asks.get(request)
+        if ask is None:
+            return
+        answered = ask.place.answer is not None
+        if not ask.started and not answered:
+            # It waited behind the same client's earlier commands; nothing was ever sent.
+            self._refuse(ask, 0)
+            return
+        for attempt, (member, _, sent_us) in list(ask.open.items()):
+            del ask.open[attempt]
+            self._route(
+                api.AttemptEnded(str(request), attempt, member, Outcome.LATE, self._now - sent_us, over=answered)
+            )
+            answered = ask.place.answer is not None
+        if not answered:
+            # The Router gives up held work in time by itself; this is the last guard of the first rule.
+            self._route(api.Departure(str(request)))
+            self._fail(ask)
+        self._asks.pop(request, None)
+
+    def _on_ended(self, given: m.AnyInput) -> None:
+        """An attempt has ended: what it says of the box, then of the request."""
+        assert isinstance(given, m.Ended)
+        self._more = given.more
+        state = self._boxes.get(given.box)
+        if given.info and state is not None:
+            self._hear(state, parse_info(given.info), given.sent_us)
+        ask = self._asks.get(given.request)
+        entry = ask.open.pop(given.attempt, None) if ask is not None else None
+        if ask is None or entry is None:
+            return  # its time was up before
+        member = entry[0]
+        if given.how == "reply":
+            outcome = outcomes.of_reply(given.frames, ask.transaction)
+            if (
+                outcome is Outcome.SERVED
+                and ask.wait_replicas
+                and given.frames[0][:1] != b"-"
+                and not (outcomes.enough_replicas(given.frames[-1], ask.wait_replicas))
+            ):
+                outcome = Outcome.ERROR  # it has run, but too few replicas hold it yet: not yet an answer
+        else:
+            outcome = outcomes.ENDINGS[given.how]
+        report = answer = None
+        if given.how == "reply" and state is not None and state.member == member:
+            # An answer proves that the box lives; a write's proves that it was primary when it was sent.
+            answer = api.Report()
+            if ask.writes and outcome is Outcome.SERVED and given.frames[-1][:1] != b"-":
+                answer = api.Report(self._now)
+                report = api.Report(given.sent_us, Role.PRIMARY)
+            else:
+                report = self._report(state, given.sent_us) if given.info else self._again(state)
+        if ask.lease and given.how != "reply":
+            self._lose_lease(ask)
+        over = ask.place.answer is not None
+        if outcome is Outcome.SERVED and not over:
+            self._serve(ask, given, member)
+            over = True
+        self._route(api.AttemptEnded(str(ask.id), given.attempt, member, outcome, given.took_us, over, answer, report))
+        if ask.place.answer is not None and not ask.open:
+            self._asks.pop(ask.id, None)
+
+    def _serve(self, ask: Ask, given: m.Ended, member: int) -> None:
+        """The first good answer goes to the client."""
+        if ask.transaction:
+            data = given.frames[-1]
+        elif ask.wait_replicas:
+            data = given.frames[0]
+        else:
+            data = given.frames[0] if len(given.frames) == 1 else b"".join(given.frames)
+        session = self._sessions.get(ask.client)
+        if session is not None and ask.executes and session.lease:
+            self._release(session)
+        self.counts["served"] += 1
+        self._out.append(m.Counted(ask.rule.name, "served", self._now - ask.arrived_us, given.box))
+        self._finish(ask, data)
+
+    def _refuse(self, ask: Ask, retry_after_us: int) -> None:
+        self._end_lease(ask)
+        self.counts["refused"] += 1
+        self._out.append(m.Counted(ask.rule.name, "refused", self._now - ask.arrived_us))
+        self._finish(ask, refusal(retry_after_us))
+
+    def _fail(self, ask: Ask) -> None:
+        self._end_lease(ask)
+        self.counts["failed"] += 1
+        self._out.append(m.Counted(ask.rule.name, "failed", self._now - ask.arrived_us))
+        self._finish(ask, failure(ask.rule.effect != "idempotent"))
+
+    def _finish(self, ask: Ask, data: bytes) -> None:
+        """The final answer, once; then the client's next commands."""
+        if ask.place.answer is not None:
+            self._out.append(m.Note("fault", f"request {ask.id} was about to be answered twice"))
+            return
+        ask.place.answer = data
+        if not ask.open:
+            self._asks.pop(ask.id, None)
+        session = self._sessions.get(ask.client)
+        if session is None:
+            return
+        session.leave(ask)
+        session.asks.pop(ask.id, None)
+        if not ask.started:
+            session.waiting = [one for one in session.waiting if one is not ask]
+        self._flush(session)
+        for waiting in session.next_to_start():
+            self._start(session, waiting)
+
+    def _request(self, session: Session, spec: Spec, args: list[bytes]) -> None:
+        """A command with keys, or one without where there is one group only."""
+        try:
+            keys = spec.keys(args)
+        except ValueError as problem:
+            session.spoilt = session.queued is not None
+            self._say(session, error(str(problem)))
+            return
+        slots = slots_of(keys)
+        problem_text = self._misplaced(spec, slots)
+        if problem_text:
+            session.spoilt = session.queued is not None
+            self._say(session, error(problem_text))
+            return
+        writes = spec.kind not in (Kind.READ, Kind.KEYLESS_READ)
+        if session.queued is not None:
+            self._queue(session, args, writes, slots)
+            return
+        rule = self._classifier.class_of(spec, args, keys, session.user, session.name)
+        if session.lease and not writes:
+            rule = PINNED
+        party = session.user or f"#{session.client}"
+        back_us = self._admission.admit(self._now, self._late_us, rule, party, len(self._asks) + self._behind)
+        if back_us and not session.lease:
+            self._shed(session, rule, back_us)
+            return
+        ask = self._ask(session, rule, slots, writes, encode_command(args))
+        if session.lease:
+            ask.lease = session.lease
+        elif rule.wait_replicas:
+            ask.wait_replicas = rule.wait_replicas
+            ask.payload += command("WAIT", rule.wait_replicas, rule.wait_ms)
+            ask.replies, ask.alone = 2, True
+        self._enter(session, ask)
+
+    def _shed(self, session: Session, rule: RequestClass, back_us: int) -> None:
+        """Refuse a command before anything is kept of it; its connection is not read until it may come back."""
+        self.counts["refused"] += 1
+        self.counts["shed"] += 1
+        self._out.append(m.Counted(rule.name, "shed", self._late_us))
+        self._say(session, refusal(back_us))
+        # Threat: a command that came before its time and lies unread is still owed an answer within its own.
+        self._out.append(m.Pause(session.client, self._now + min(back_us, self._longest_pause_us)))
+
+    def _misplaced(self, spec: Spec, slots: list[int]) -> str:
+        """Why a command has no one group, in the words of the cluster specification."""
+        if slots:
+            if self._classifier.group_of(slots) is None:
+                return "CROSSSLOT Keys in request don't hash to the same slot"
+        elif self._classifier.groups > 1:
+            return f"ERR {spec.name} without a key is not served by a gateway of several banks"
+        return ""
+
+    def _ask(
+        self,
+        session: Session,
+        rule: RequestClass,
+        slots: list[int],
+        writes: bool,
+        payload: bytes,
+        replies: int = 1,
+    ) -> Ask:
+        self._last_request += 1
+        place = Place()
+        session.places.append(place)
+        group = self._classifier.group_of(slots) if slots else 0
+        assert group is not None
+        return Ask(
+            self._last_request,
+            session.client,
+            place,
+            rule,
+            group,
+            slots,
+            writes,
+            payload,
+            replies,
+            self._now - self._late_us,  # the client's time runs since its command was there
+            session.protocol,
+        )
+
+    def _enter(self, session: Session, ask: Ask) -> None:
+        """Start a request, or let it wait for its client's earlier ones."""
+        self._asks[ask.id] = session.asks[ask.id] = ask
+        heapq.heappush(self._ends, (ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US, ask.id))
+        free = session.may_start(ask)
+        session.enter(ask)
+        if free:
+            self._start(session, ask)
+        else:
+            session.waiting.append(ask)
+
+    def _start(self, session: Session, ask: Ask) -> None:
+        """Hand a request to the Router."""
+        ask.started = True
+        rule = ask.rule
+        if ask.lease and session.lease_lost:
+            if ask.executes or ask.watches:
+                self._end_unwatched(ask)
+                return
+            ask.lease = 0
+        if rule.freshness in ("bounded", "session"):
+            group = self._groups[ask.group]
+            primary = self._boxes.get(group.primary)
+            if primary is not None and self._now - group.positions.newest_us() > self._sample_us:
+                self._sample(primary)
+            self._refresh(ask.group)
+        name = session.name if self.settings.sessions == "client-name" and session.name else f"#{session.client}"
+        left = ask.arrived_us + rule.deadline_ms * 1_000 - self._now
+        self._route(api.Arrival(str(ask.id), rule.name, ask.group, left, f"{name}@{ask.group}"))
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -20,9 +20,8 @@
 
 from oatlink import __version__, holds, state
 from oatlink import interface as api
-from oatlink.core import engine as core
 from oatlink.core import messages as m
-from oatlink.core import overload, positions, reports, sessions
+from oatlink.core import overload, positions, reports, sessions, shared
 from oatlink.core.engine import Engine
 from oatlink.rules import Router
 from oatlink.settings import model
@@ -45,8 +44,8 @@
     sessions.Place,
     sessions.Ask,
     sessions.Session,
-    core.BoxState,
-    core.GroupState,
+    shared.BoxState,
+    shared.GroupState,
     positions.Positions,
     positions.History,
     overload.Admission,
--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -24,6 +24,11 @@
     return time.monotonic_ns() // 1000
 
 
+def slept_us() -> int:
+    """How long the machine has slept since it started: time that `now_us` does not count."""
+    return (time.clock_gettime_ns(time.CLOCK_BOOTTIME) - time.monotonic_ns()) // 1000
+
+
 class Marks:
     """When the present turn of the loop began, and who waits for the next one.
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -12,7 +12,7 @@
 
 from oatlink.core import messages as m
 from oatlink.core.snapshot import take
-from oatlink.gateway.clock import Marks, Stream, now_us
+from oatlink.gateway.clock import Marks, Stream, now_us, slept_us
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
@@ -38,6 +38,9 @@
     return bind_sockets(int(port), host.strip("[]"), backlog=1024, reuse_port=reuse_port)
 
 
+SLEPT_US = 10_000  # less than that is how exactly two clocks are read
+
+
 class Client:
     """One client connection."""
 
@@ -74,6 +77,7 @@
         self._inputs: deque[m.AnyInput] = deque()
         self._running = False
         self._now_us = began_us  # of the newest input
+        self._slept_us = slept_us()
         self._turn = Turn(self._flush)
         self._dirty_links: list[Connection] = []
         self._dirty_clients: list[Client] = []
@@ -154,6 +158,10 @@
         return any(link.probes for link in self._links.values())
 
     def _sweep(self) -> None:
+        slept = slept_us()
+        if slept - self._slept_us > SLEPT_US:
+            self.feed(m.Gapped())
+        self._slept_us = slept
         with self.turn():
             for link in self._links.values():
                 link.sweep()
--- a/tests/sabotage.py
+++ b/tests/sabotage.py
@@ -53,7 +53,7 @@
         boxes = tuple(msgspec.structs.replace(one, state="ready") for one in given.boxes)
         whole(self, m.Listed(boxes))
 
-    core.Engine._on_listed = listed  # type: ignore[method-assign]
+    core.Engine._on_listed = listed  # type: ignore[method-assign, assignment]
 
 
 def cold_spared() -> None:
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -9,12 +9,14 @@
 import pytest
 
 from oatlink.core import messages as m
+from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.gateway.clock import CLIENTS_A_TURN, Marks, patience
 from oatlink.gateway.server import Gateway, listen
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
-from tests.test_engine import KEY, PLAIN, Rig, sent
+from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, info, sent
 from tests.test_operators import Site, run
+from tests.test_recording import traced
 from tests.test_standins import Wire
 
 
@@ -165,6 +167,24 @@
     assert len(rig.sent) == before + 1
 
 
+def test_after_a_gap_in_the_clock_no_read_goes_by_what_was_shown_before_it() -> None:
+    recorder = Recorder("test", SETTINGS, 1_000_000_000)
+    with traced(recorder) as parts:
+        rig = Rig()
+        for _ in range(3):
+            rig.end(sent(rig.ask("GET", KEY)), [b"$-1\r\n"])
+            rig.pass_us(1_000)
+        assert rig.sent[-1].box in ("r", "s")
+        rig.says = {name: b"" for name in rig.says}  # nobody answers a probe for now
+        rig.give(m.Gapped())
+        assert rig.ask("GET", KEY) is None and {one.age_ms for one in rig.engine.verdicts()} == {-1}
+        rig.says = {"p": info("primary", 100, run="p"), "r": info("replica", 40, run="r"), "s": b"", "q": b""}
+        rig.pass_us(600_000)
+        assert rig.sent[-1].box == "p"  # the replica proves nothing yet: it lacks what the primary has
+    recording = Recording(b"".join(parts))
+    assert replay(recording.header, recording.entries()).differences == 0
+
+
 def test_a_turn_lets_in_so_many_clients_in_order() -> None:
     async def test() -> None:
         marks, order, turns = Marks(), list[int](), list[int]()
