Rows of holds stay; rooms of the engine in one line of classes

Rooms as mixins could not be compiled (mypyc takes one line of classes). Change: rows stay but for those of tried members; a window with few holds is filled one by one; each room of the engine is built on the one before it.

--- a/oatlink/core/clients.py
+++ b/oatlink/core/clients.py
@@ -5,12 +5,12 @@
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core.commands import Kind, Spec, blocks, find
+from oatlink.core.requests import Requests
 from oatlink.core.sessions import Place, Session, refusal
-from oatlink.core.shared import Shared
 from oatlink.protocols.resp import error
 
 
-class Clients(Shared):
+class Clients(Requests):
     """Client connections."""
 
     @property
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -3,7 +3,7 @@
 What may live in the engine: the translation between the protocol's world and the Router's (requests, members, times),
 and the state that neither of them keeps: sessions, boxes' identities, histories of offsets, deadlines. No I/O, no
 clock. Here are the door and time; the rooms behind it are `boxes`, `requests`, `clients`, `transactions`, `operators`,
-over the state in `shared`.
+over the state in `shared`. Each is built on the one before it, in one line of classes, which a compiler can take.
 """
 
 import heapq
@@ -11,17 +11,13 @@
 
 from oatlink import interface as api
 from oatlink.core import messages as m
-from oatlink.core.boxes import Boxes
-from oatlink.core.clients import Clients
 from oatlink.core.operators import Operators
-from oatlink.core.requests import Requests
 from oatlink.core.shared import router_settings
-from oatlink.core.transactions import Transactions
 from oatlink.rules import Router
 from oatlink.settings.model import Settings
 
 
-class Engine(Boxes, Requests, Clients, Transactions, Operators):
+class Engine(Operators):
     """Decides for one gateway, by the Router and the modules beside it."""
 
     def __init__(self, settings: Settings, now_us: int = 0, router: type[Router] = Router) -> None:
--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -9,7 +9,8 @@
 from oatlink.core.local import server_section
 from oatlink.core.reports import BoxReport
 from oatlink.core.sessions import Place, Session
-from oatlink.core.shared import BoxState, Shared
+from oatlink.core.shared import BoxState
+from oatlink.core.transactions import Transactions
 from oatlink.interface import Role
 from oatlink.protocols.resp import Array, Map, Simple, Value, encode, error
 
@@ -37,7 +38,7 @@
     run_id: str
 
 
-class Operators(Shared):
+class Operators(Transactions):
     """The operators' view."""
 
     def verdicts(self) -> list[Verdict]:
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -10,11 +10,11 @@
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core import outcomes
+from oatlink.core.boxes import Boxes
 from oatlink.core.classify import PINNED, slots_of
 from oatlink.core.commands import Kind, Spec
 from oatlink.core.reports import parse_info
 from oatlink.core.sessions import Ask, Place, Session, failure, refusal
-from oatlink.core.shared import Shared
 from oatlink.interface import Outcome, Role
 from oatlink.protocols.resp import command, encode_command, error
 from oatlink.settings.model import RequestClass
@@ -22,7 +22,7 @@
 SLACK_US = 4_000  # the last moment for a final answer lies so long before the client's time is up
 
 
-class Requests(Shared):
+class Requests(Boxes):
     """Requests between clients and the Router."""
 
     @property
--- a/oatlink/core/transactions.py
+++ b/oatlink/core/transactions.py
@@ -2,13 +2,13 @@
 
 from oatlink.core import messages as m
 from oatlink.core.classify import PINNED, slots_of
+from oatlink.core.clients import Clients
 from oatlink.core.commands import Spec
 from oatlink.core.sessions import Ask, Session, refusal
-from oatlink.core.shared import Shared
 from oatlink.protocols.resp import OK, QUEUED, Null, encode, encode_command, error
 
 
-class Transactions(Shared):
+class Transactions(Clients):
     """Transactions and leases."""
 
     def _queue(self, session: Session, args: list[bytes], writes: bool, slots: list[int]) -> None:
--- a/oatlink/holds.py
+++ b/oatlink/holds.py
@@ -18,7 +18,7 @@
 Kind = tuple[str, float, bool, tuple[int, ...], bool]
 """Class, worth, whether late, members tried, whether it may not ask any more: what one member says to all of them."""
 
-LEAST_WINDOW = 64  # numbers
+LEAST_WINDOW = 1024  # numbers
 
 
 @dataclass(slots=True)
@@ -89,12 +89,16 @@
             self.size *= 2
         self.first = least - span
         low, high = [NEVER] * (2 * self.size), [LONG_AGO] * (2 * self.size)
+        self.low, self.high = low, high
+        if len(needs) < self.size // 16:
+            for one, need in needs.items():
+                self._set(one - self.first, need, need)
+            return
         for one, need in needs.items():
             low[one - self.first + self.size] = high[one - self.first + self.size] = need
         for at in range(self.size - 1, 0, -1):
             low[at] = min(low[2 * at], low[2 * at + 1])
             high[at] = max(high[2 * at], high[2 * at + 1])
-        self.low, self.high = low, high
 
 
 @dataclass(slots=True)
@@ -139,7 +143,7 @@
             row = self.rows.get(kind)
             if row is not None:
                 row.drop(request)
-                if not row.held:
+                if not row.held and kind[3]:  # rows of tried members come and go, the others are few and come again
                     del self.rows[kind]
 
     def over(self, now: int, usual: int) -> list[Request]:
