--- a/tests/test_redact.py
+++ b/tests/test_redact.py
@@ -11,7 +11,7 @@
 from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.core.redact import Redactor, tag_of
 from oatlink.settings.model import Users
-from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, info
+from tests.test_engine import KEY, OTHER, OWN, PLAIN, SETTINGS, Rig, info, sent
 from tests.test_recording import traced
 
 HASHED = msgspec.structs.replace(SETTINGS, record_redact="keys")
@@ -116,3 +116,24 @@
     recording = Recording(data)
     found = replay(recording.header, recording.entries())
     assert found.inputs > 100 and found.differences == 0, found.first
+
+
+def test_a_part_that_begins_amid_secrets_holds_none_of_them_and_replays() -> None:
+    rig = Rig(HASHED)
+    first = sent(rig.ask("SET", PLAIN, "topsecret"))
+    rig.ask("GET", PLAIN)  # waits, answered out of a snapshot's request
+    rig.ask("MULTI", client=2)
+    rig.ask("SET", OWN, "topsecret", client=2)
+    rig.end(sent(rig.ask("GET", OTHER)), [b"$9\r\ntopsecret\r\n"])  # in its row, behind the others' answers
+    recorder = Recorder("test", HASHED, rig.now, engine=rig.engine)
+    with traced(recorder) as parts:
+        rig.end(first, [b"+OK\r\n"])
+        rig.end(rig.sent[-1], [b"$9\r\ntopsecret\r\n"])
+        rig.end(sent(rig.ask("EXEC", client=2)), [b"+OK\r\n", b"+QUEUED\r\n", b"*1\r\n+OK\r\n"])
+    assert rig.text().count(b"topsecret") == 2 and rig.text(2).endswith(b"+OK\r\n")
+    data = b"".join(parts)
+    assert b"topsecret" not in data and OWN.encode() not in data
+    recording = Recording(data)
+    assert recording.header.snapshot
+    found = replay(recording.header, recording.entries())
+    assert found.inputs == 4 and found.differences == 0, found.first
