A client that came before its time is answered within its own

Need: a refused client that asks again at once lies unread for a while, and its time was counted from when it was read: up to one and a half deadlines by its own clock, against the first rule. Change: Asked says how long ago the command came beside how long it waited for this process; what came unread counts from the refusal.

--- a/oatlink/core/clients.py
+++ b/oatlink/core/clients.py
@@ -69,6 +69,7 @@
         if session is None or session.closing:
             return
         self._late_us, self._behind = given.late_us, given.behind
+        self._waited_us = max(given.late_us, given.waited_us)
         args = given.args
         if session.admin:
             self._administer(session, args)
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -55,13 +55,15 @@
 class Asked(Input, frozen=True):
     """A client has sent a command, which then waited for this process for `late_us`, at most.
 
-    `behind`: how many other clients whose commands have come still wait for it.
+    `behind`: how many other clients whose commands have come still wait for it. `waited_us`: how long ago it came, at
+    most; that is longer where the client came before it should have and was not read.
     """
 
     client: int
     args: list[bytes]
     late_us: int = 0
     behind: int = 0
+    waited_us: int = 0
 
 
 class Broken(Input, frozen=True, gc=False):
--- a/oatlink/core/overload.py
+++ b/oatlink/core/overload.py
@@ -54,16 +54,22 @@
     parties: OrderedDict[str, tuple[int, float]] = field(default_factory=OrderedDict)  # when seen, what it had
     had: float = 0.0  # by all parties that are there
 
-    def admit(self, now_us: int, late_us: int, rule: RequestClass, party: str, open_now: int) -> int:
-        """0 to take a command, else in how many microseconds to come back."""
+    def admit(
+        self, now_us: int, late_us: int, rule: RequestClass, party: str, open_now: int, waited_us: int = 0
+    ) -> int:
+        """0 to take a command, else in how many microseconds to come back.
+
+        `late_us` is what it waited for this process; `waited_us` what it waited in all, where that is more.
+        """
         if now_us - self.look_us >= LOOK_US:
             self._look(now_us)
         self.late_sum += late_us
         self.most_open = max(self.most_open, open_now)
         limited = self.limit < MOST
-        if limited or late_us > self.target_us:
+        waited_us = max(late_us, waited_us)
+        if limited or waited_us > self.target_us:
             self.worth += 0.02 * (rule.worth - self.worth)
-            too_late = late_us > 1_000 * (rule.aim_ms if rule.late_worth <= 0 else rule.deadline_ms)
+            too_late = waited_us > 1_000 * (rule.aim_ms if rule.late_worth <= 0 else rule.deadline_ms)
             # Threat: a limit that outlives its flood. Where a command has hardly waited there is no queue, so no limit.
             waits = late_us > self.target_us / 4 and open_now >= FLOODING * self.limit
             if too_late or (waits and open_now >= self._limit_of(now_us, rule, party)):
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -239,7 +239,9 @@
         if session.lease and not writes:
             rule = PINNED
         party = session.user or f"#{session.client}"
-        back_us = self._admission.admit(self._now, self._late_us, rule, party, len(self._asks) + self._behind)
+        back_us = self._admission.admit(
+            self._now, self._late_us, rule, party, len(self._asks) + self._behind, self._waited_us
+        )
         if back_us and not session.lease:
             self._shed(session, rule, back_us)
             return
@@ -294,7 +296,7 @@
             writes,
             payload,
             replies,
-            self._now - self._late_us,  # the client's time runs since its command was there
+            self._now - self._waited_us,  # the client's time runs since its command was there
             session.protocol,
         )
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -50,7 +50,7 @@
         self.out: list[bytes] = []
         self.hangup = False
         self.paused_until_us = 0
-        self.resumed_us = 0  # what it sent before waited for it, not for this process
+        self.refused_us = 0
         self.unsent = 0  # bytes written that the client has not taken
         self.room: asyncio.Future[None] | None = None
         self.written: asyncio.Future[None] | None = None
@@ -236,6 +236,7 @@
         elif isinstance(effect, m.Pause):
             client = self._clients.get(effect.client)
             if client is not None:
+                client.refused_us = now_us()
                 client.paused_until_us = max(client.paused_until_us, effect.until_us)
         elif isinstance(effect, m.Record):
             done, text = self._tape.do(effect.word, self._now_us)
@@ -288,18 +289,20 @@
         patience_s = self.settings.limits.client_write_timeout_ms / 1000
         try:
             while True:
-                if client.paused_until_us:
-                    await self._pause(client)
+                resumed_us = await self._pause(client) if client.paused_until_us else 0
                 data = await stream.read_bytes(CHUNK, partial=True)
-                came_us = max(stream.since_us, client.resumed_us)
+                came_us = stream.since_us
+                if resumed_us and resumed_us <= came_us < resumed_us + 1_000:
+                    came_us = client.refused_us  # it lay unread; since when is not known
                 await self.marks.let_in()
                 reader.feed(data)
                 while True:
                     with self._turn:
                         while client.unanswered < most and (args := reader.take()) is not None:
                             client.unanswered += 1
-                            waited_us = max(0, now_us() - came_us)
-                            self.feed(m.Asked(client.number, args, waited_us, self.marks.waiting))
+                            now = now_us()
+                            late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
+                            self.feed(m.Asked(client.number, args, late_us, self.marks.waiting, waited_us))
                         full = client.unanswered >= most
                     if client.unsent > most_unsent and client.written is not None:
                         # It does not take its answers: nothing more is read from it until it does. Below the
@@ -325,8 +328,8 @@
             del self._clients[client.number]
             self.feed(m.Closed(client.number))
 
-    async def _pause(self, client: Client) -> None:
-        """Read nothing until the engine allows it again, or the client has left."""
+    async def _pause(self, client: Client) -> int:
+        """Read nothing until the engine allows it again, or the client has left; when that was."""
         loop = asyncio.get_running_loop()
         over: asyncio.Future[None] = loop.create_future()
 
@@ -342,7 +345,7 @@
             handle.cancel()
             client.stream.set_close_callback(None)
         client.paused_until_us = 0
-        client.resumed_us = now_us()
+        return now_us()
 
     def _answer(self, effect: m.Answer) -> None:
         client = self._clients.get(effect.client)
