A refused connection is paused shortly, longer each time, and not for what came too late

Need: what came during a pause was past its aim by the pause, was refused for it and paused the connection again: a connection that many share would not get out of it. Change: a quarter of the shortest aim, doubled at each refusal in a row, half the shortest deadline at most; none for what had waited past its time.

--- a/oatlink/core/overload.py
+++ b/oatlink/core/overload.py
@@ -11,8 +11,10 @@
   of its own) that has had more than `FLOOD` times what parties had on average is refused first.
 - What has waited past its time is refused whatever its worth.
 - A refused command says when to come back, spread out. That time grows while many are refused and shrinks while less
-  is open than may be. The gateway does not read from that connection meanwhile, for half the shortest deadline at
-  most, so that one that does not listen costs little more than one that does.
+  is open than may be. The gateway does not read from that connection meanwhile, for a quarter of the shortest aim,
+  twice as long each time it is refused again, half the shortest deadline at most: one that does not listen must not
+  cost much more than one that does. What is refused for having waited too long pauses nobody, or a connection that
+  many share would have each of its commands come too late for the pause after the one before.
 
 What has not been seen for `WINDOW_US` weighs nothing, and a flood that ends leaves a limit that nobody reaches. Work a
 command is O(1), counted over the parties that have gone.
@@ -69,10 +71,9 @@
         waited_us = max(late_us, waited_us)
         if limited or waited_us > self.target_us:
             self.worth += 0.02 * (rule.worth - self.worth)
-            too_late = waited_us > 1_000 * (rule.aim_ms if rule.late_worth <= 0 else rule.deadline_ms)
             # Threat: a limit that outlives its flood. Where a command has hardly waited there is no queue, so no limit.
             waits = late_us > self.target_us / 4 and open_now >= FLOODING * self.limit
-            if too_late or (waits and open_now >= self._limit_of(now_us, rule, party)):
+            if past(waited_us, rule) or (waits and open_now >= self._limit_of(now_us, rule, party)):
                 self.refused += 1
                 self.draws += 1
                 drawn = xxhash.xxh32_intdigest(self.draws.to_bytes(8, "big"), self.seed) / 2**32
@@ -122,6 +123,11 @@
         self.parties[party] = now_us, had_now
 
 
+def past(waited_us: int, rule: RequestClass) -> bool:
+    """Whether a command has waited so long that an answer is worth nothing."""
+    return waited_us > 1_000 * (rule.aim_ms if rule.late_worth <= 0 else rule.deadline_ms)
+
+
 def _left(passed_us: int) -> float:
     """What is left of a count after a time: half after half a window."""
     left: float = 0.5 ** (2 * passed_us / WINDOW_US)
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -13,6 +13,7 @@
 from oatlink.core.boxes import Boxes
 from oatlink.core.classify import PINNED, slots_of
 from oatlink.core.commands import Kind, Spec
+from oatlink.core.overload import past
 from oatlink.core.reports import parse_info
 from oatlink.core.sessions import Ask, Place, Session, failure, refusal
 from oatlink.interface import Outcome, Role
@@ -245,6 +246,7 @@
         if back_us and not session.lease:
             self._shed(session, rule, back_us)
             return
+        session.shed = 0
         ask = self._ask(session, rule, slots, writes, encode_command(args))
         if session.lease:
             ask.lease = session.lease
@@ -261,7 +263,11 @@
         self._out.append(m.Counted(rule.name, "shed", self._late_us))
         self._say(session, refusal(back_us))
         # Threat: a command that came before its time and lies unread is still owed an answer within its own.
-        self._out.append(m.Pause(session.client, self._now + min(back_us, self._longest_pause_us)))
+        # Threat: a connection shared by many, refused once: what comes in the pause is too late by it, and so on.
+        if not past(self._waited_us, rule):
+            pause_us = min(back_us, self._first_pause_us << min(session.shed, 8), self._longest_pause_us)
+            session.shed += 1
+            self._out.append(m.Pause(session.client, self._now + pause_us))
 
     def _misplaced(self, spec: Spec, slots: list[int]) -> str:
         """Why a command has no one group, in the words of the cluster specification."""
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -73,6 +73,7 @@
     lease_lost: bool = False
     answered: int = 0
     closing: bool = False
+    shed: int = 0  # times refused for the gateway's own load, one after the other
     admin: bool = False
     recording: deque[Place] = field(default_factory=deque)  # asked of the recorder, not yet answered
 
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -91,6 +91,7 @@
         self._refresh_us = max(2 * self._sample_us, settings.peers * 1_000_000 // PROBES_A_S)
         self._local = Local(settings, self._info)
         self._admission = admission(settings.seed, self._classifier.classes)
+        self._first_pause_us = min(one.aim_ms for one in self._classifier.classes) * 250
         self._longest_pause_us = min(one.deadline_ms for one in self._classifier.classes) * 500
 
     # ---- Calls between rooms ----
