Two tests start their gateway by gateway_for

Need: both wrote again how a gateway is put before embedded banks, which tests/test_links.py has. Change: they call it; assertions as they were.

--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -11,10 +11,10 @@
 from oatlink.core import messages as m
 from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.gateway.clock import CLIENTS_A_TURN, Marks, patience
-from oatlink.gateway.server import Gateway, listen
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, info, sent
+from tests.test_links import gateway_for
 from tests.test_operators import Site, run
 from tests.test_recording import traced
 from tests.test_standins import Wire
@@ -94,9 +94,7 @@
     async def test() -> None:
         embedded = Embedded(1, 1, 1)
         end = await embedded.start()
-        gateway = Gateway(embedded.settings(0, log_level="error"))
-        sockets = listen("127.0.0.1:0")
-        gateway.start(sockets)
+        gateway, port, _ = await gateway_for(embedded)
         took: list[int] = []
         feed = gateway.feed
 
@@ -106,7 +104,7 @@
             feed(given)
 
         gateway.feed = watched  # type: ignore[method-assign]
-        wire = await Wire.open(sockets[0].getsockname()[1])
+        wire = await Wire.open(port)
         loop = asyncio.get_running_loop()
         link = gateway._links["box-0-0"]
         for _ in range(5):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,11 +14,11 @@
 
 from oatlink.core import messages as m
 from oatlink.core.overload import LEAST, LONGEST_US, Admission
-from oatlink.gateway.server import Gateway, listen
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.settings.model import RequestClass
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, sent
+from tests.test_links import gateway_for
 from tests.test_standins import Wire
 
 VIEW = RequestClass("view", "bounded", "idempotent", 600, 2_000, worth=1.0, staleness_ms=500)
@@ -195,10 +195,8 @@
     async def test() -> None:
         embedded = Embedded(1, 1, 1)
         end = await embedded.start()
-        gateway = Gateway(embedded.settings(0, log_level="error"))
-        sockets = listen("127.0.0.1:0")
-        gateway.start(sockets)
-        wire = await Wire.open(sockets[0].getsockname()[1])
+        gateway, port, _ = await gateway_for(embedded)
+        wire = await Wire.open(port)
         assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
         admission = gateway.engine._admission
         refusing = lambda *_: 4_000_000  # noqa: E731
