A compiled wheel where a C compiler is there; a pipeline is not late by its own length

And the core was plain Python however it was installed.

Change: lateness is measured once, at the first command of a batch; the rest wait for their own client. One client has at most 64 commands before others have their turn, also where all of them are answered at once. `pip install .` compiles the modules of [tool.oatlink] native by mypyc, all or none; without a compiler the wheel is plain Python. The form is an input (Started.code), in the log's line 'serving', in INFO and in `status`.

--- a/oatlink/cli/operators.py
+++ b/oatlink/cli/operators.py
@@ -133,7 +133,7 @@
             click.echo(json.dumps({**sections, "members": rows}))
         else:
             click.echo(
-                f"oatlink {sections['server']['oatlink_version']}, up "
+                f"oatlink {sections['server']['oatlink_version']} ({sections['server'].get('oatlink_code', '?')}), up "
                 f"{sections['server'].get('uptime_in_seconds', '?')} s, "
                 + ", ".join(
                     f"{key}: {value}"
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -56,6 +56,8 @@
         return self._names
 
     def _on_started(self, given: m.AnyInput) -> None:
+        assert isinstance(given, m.Started)
+        self._code = given.code
         self._route(api.Start())
 
     def _on_ticked(self, given: m.AnyInput) -> None:
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -29,7 +29,9 @@
 
 
 class Started(Input, frozen=True, gc=False):
-    """The gateway begins."""
+    """The gateway begins; `code` says in which form its program runs, for operators."""
+
+    code: str = ""
 
 
 class Listed(Input, frozen=True):
--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -184,7 +184,7 @@
             for number, one in enumerate(self._groups)
         }
         return {
-            "server": server_section(self._started_us, self._now),
+            "server": {**server_section(self._started_us, self._now), "oatlink_code": self._code or "unknown"},
             "clients": {"connected_clients": len(self._sessions), "open_requests": len(self._asks)},
             "stats": {f"requests_{name}": count for name, count in self.counts.items()},
             "replication": {"role": "master", "connected_slaves": 0},
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -78,6 +78,7 @@
         self._waited_us = 0  # how long ago it came
         self._behind = 0  # clients that wait for this process
         self._more = False  # inputs of the same read follow: what is held is placed after the last of them
+        self._code = ""  # the form of the program, as `Started` said
         self._listed = False  # discovery has spoken once
         self.fresh = True  # no input yet, nothing taken over
         self.counts: dict[str, int] = {"served": 0, "refused": 0, "failed": 0, "local": 0, "shed": 0}
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -162,9 +162,15 @@
         return made
 
 
+def _held(made: object) -> tuple[str, ...]:
+    """The names of what an object holds. A compiled class has no `__dict__` and says them itself."""
+    named: tuple[str, ...] | None = getattr(type(made), "__mypyc_attrs__", None)
+    return tuple(vars(made)) if named is None else tuple(one for one in dict.fromkeys(named) if one != "__dict__")
+
+
 def _fields(kind: type) -> tuple[str, ...]:
     if kind is positions.Positions:
-        return tuple(sorted(vars(positions.Positions())))
+        return tuple(sorted(_held(positions.Positions())))
     if dataclasses.is_dataclass(kind):
         return tuple(one.name for one in dataclasses.fields(kind))
     assert issubclass(kind, msgspec.Struct)
@@ -177,9 +183,10 @@
 def take(engine: Engine, now_us: int, hide: Hide | None = None) -> bytes:
     """The whole state, without what `hide` leaves out. Changes nothing; not while the engine handles an input."""
     writer = _Writer(hide)
-    held = {name: writer.put(one) for name, one in vars(engine).items() if name not in _ENGINE_MADE}
-    routed = {name: writer.put(one) for name, one in vars(engine.router).items() if name not in _ROUTER_MADE}
-    version, numbers, gauss = engine.router._random.getstate()
+    router = engine.router
+    held = {name: writer.put(getattr(engine, name)) for name in _held(engine) if name not in _ENGINE_MADE}
+    routed = {name: writer.put(getattr(router, name)) for name in _held(router) if name not in _ROUTER_MADE}
+    version, numbers, gauss = router._random.getstate()
     head = Head(__version__, settings_hash(engine.settings), now_us, held, routed, [version, list(numbers), gauss])
     payload = msgspec.msgpack.encode(head)
     return MAGIC + xxhash.xxh64_digest(payload) + payload
@@ -231,7 +238,7 @@
 
 
 def _known(made: object, field: str, name: str) -> None:
-    if field not in vars(made):
+    if field not in _held(made):
         raise SnapshotError(f"{name}: unknown field {field!r}")
 
 
--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -75,10 +75,10 @@
         """Clients that wait to be let in."""
         return len(self._waiting)
 
-    async def let_in(self) -> None:
-        """Wait for one's place in this turn or a later one."""
+    async def let_in(self, again: bool = False) -> None:
+        """Wait for one's place in this turn or a later one; `again`: one has had a place in this one."""
         self.turn_began_us()
-        if self._let_in < CLIENTS_A_TURN and not self._waiting:
+        if not again and self._let_in < CLIENTS_A_TURN and not self._waiting:
             self._let_in += 1
             return
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -18,6 +18,7 @@
 from oatlink.gateway.metrics import serve
 from oatlink.gateway.notes import Notes
 from oatlink.gateway.server import Gateway, boxes_of, listen
+from oatlink.native import code
 from oatlink.settings import Settings, SettingsError, load
 
 Prepare = Callable[[], Awaitable[Callable[[], None]]]
@@ -91,7 +92,7 @@
         await asyncio.sleep(0.005)
     if gateway.engine.without_primary:
         notes.note("ready without a primary", ", ".join(gateway.engine.without_primary))
-    notes.note("serving", ", ".join(settings.listen))
+    notes.note("serving", f"{', '.join(settings.listen)}; {code()}")
     ready()
     await stop.wait()
     if follower is not None:
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -17,6 +17,7 @@
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
 from oatlink.gateway.recorder import Tape, start_engine, write_snapshot
+from oatlink.native import code
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
@@ -38,6 +39,7 @@
     return bind_sockets(int(port), host.strip("[]"), backlog=1024, reuse_port=reuse_port)
 
 
+COMMANDS_A_TURN = 64  # of one client
 SLEPT_US = 10_000  # less than that is how exactly two clocks are read
 
 
@@ -93,7 +95,7 @@
     def start(self, sockets: list[socket.socket], admin: list[socket.socket] | None = None) -> None:
         """Serve on bound sockets, with the roster of the settings; `admin` ones are for operators."""
         self._sockets = [*sockets, *(admin or ())]
-        self.feed(m.Started())
+        self.feed(m.Started(code()))
         self.list(boxes_of(self.settings))
         for one in sockets:
             self._removers.append(add_accept_handler(one, self._accept))
@@ -297,13 +299,20 @@
                 await self.marks.let_in()
                 reader.feed(data)
                 while True:
+                    # Threat: a pipeline that is refused for its own length. A command waits for its client's earlier
+                    # ones by its client's wish; this process is late only with the first of them.
+                    now = now_us()
+                    late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
+                    taken, full = 0, True
                     with self._turn:
-                        while client.unanswered < most and (args := reader.take()) is not None:
+                        while client.unanswered < most and taken < COMMANDS_A_TURN:
+                            args = reader.take()
+                            if args is None:
+                                full = False
+                                break
                             client.unanswered += 1
-                            now = now_us()
-                            late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
+                            taken += 1
                             self.feed(m.Asked(client.number, args, late_us, self.marks.waiting, waited_us))
-                        full = client.unanswered >= most
                     if client.unsent > most_unsent and client.written is not None:
                         # It does not take its answers: nothing more is read from it until it does. Below the
                         # mark reading goes on, for a client may send a long pipeline before it reads at all.
@@ -315,6 +324,8 @@
                         client.room = asyncio.get_running_loop().create_future()
                         await client.room
                     came_us = now_us()  # the rest waited for its own earlier commands, not for this process
+                    if taken == COMMANDS_A_TURN:
+                        await self.marks.let_in(again=True)  # what is answered here at once never fills the pipeline
         except ProtocolError as problem:
             self.feed(m.Broken(client.number, str(problem)))
             with contextlib.suppress(StreamClosedError, TimeoutError):
--- /dev/null
+++ b/oatlink/native.py
@@ -0,0 +1,13 @@
+"""Whether this process runs the compiled decisions and codecs, or the same as plain Python (setup.py)."""
+
+from oatlink import holds, rules, state
+from oatlink.core import engine, requests, sessions
+from oatlink.protocols import resp
+
+COMPILED, PLAIN = "compiled", "plain Python"
+
+
+def code() -> str:
+    """`COMPILED` or `PLAIN`; both decide the same, byte for byte."""
+    parts = (rules, holds, state, engine, requests, sessions, resp)
+    return PLAIN if any((one.__file__ or "").endswith(".py") for one in parts) else COMPILED
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,14 @@
 """A small driver for the rules: settings, events and a clock, and nothing of the bench."""
 
 from dataclasses import replace
+from pathlib import Path
 from typing import TypeVar
 
 import hypothesis
 import pytest
 
 from oatlink import interface as api
+from oatlink.lab.day import SCENARIOS, Report, play
 from oatlink.rules import Router
 
 # The same examples at every run, and no verdict that depends on the machine's speed.
@@ -37,6 +39,14 @@
 START_US = 100_000_000
 
 
+@pytest.fixture(scope="session")
+def day_of_trouble(tmp_path_factory: pytest.TempPathFactory) -> tuple[Report, list[Path]]:
+    """One day of trouble by real gateways, played once: its verdict and each gateway's recording."""
+    place = tmp_path_factory.mktemp("trouble") / "day"
+    report = play(SCENARIOS["trouble"], seed=5, seconds=14, record_to=str(place))
+    return report, [place.with_name(f"day.{number}") for number in range(2)]
+
+
 class Driver:
     """One router with a clock that tests move by hand."""
 
--- /dev/null
+++ b/tests/test_native.py
@@ -0,0 +1,93 @@
+"""The compiled program decides what the plain one decides; where nothing compiles, the same wheel is plain."""
+
+import os
+import subprocess
+import sys
+import zipfile
+from pathlib import Path
+
+import pytest
+
+from oatlink import native
+from oatlink.core.engine import Engine
+from oatlink.core.snapshot import take
+from oatlink.lab.day import Report
+from tests.test_engine import SETTINGS
+
+HERE = Path(__file__).parent.parent
+
+# What a wheel's own program says of recordings: its form, and of each the inputs, the differences, and the state after.
+TELLS = """
+import sys
+from itertools import islice
+from oatlink import native
+from oatlink.core.engine import Engine
+from oatlink.core.recording import Recording, replay
+from oatlink.core.snapshot import restore, take
+print(native.code())
+for file in sys.argv[1:]:
+    data = open(file, "rb").read()
+    recording = Recording(data)
+    found = replay(recording.header, recording.entries())
+    print(found.inputs, found.differences, found.first)
+    recording = Recording(data)
+    engine = Engine(recording.header.settings, recording.header.began_us)
+    for at, entry in enumerate(islice(recording.entries(), 1500)):
+        engine.handle(entry.given, entry.now_us)
+        if at % 500 == 250:
+            engine = restore(take(engine, entry.now_us), recording.header.settings)
+    print(sorted(map(repr, engine.verdicts())))
+"""
+
+
+def wheel(to: Path, **environment: str) -> Path:
+    """The project's wheel as `pip install .` builds it, unpacked."""
+    done = subprocess.run(
+        [sys.executable, "-m", "pip", "wheel", "-q", "--no-deps", "--no-build-isolation", "-w", str(to), str(HERE)],
+        env={**os.environ, "OATLINK_OPTIMIZE": "0", **environment},
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 0, done.stderr
+    (found,) = to.glob("*.whl")
+    with zipfile.ZipFile(found) as packed:
+        packed.extractall(to / "unpacked")
+    return to / "unpacked"
+
+
+def told(place: Path, files: list[Path]) -> list[str]:
+    """What the program in a folder says of recordings."""
+    done = subprocess.run(
+        [sys.executable, "-c", TELLS, *map(str, files)],
+        env={**os.environ, "PYTHONPATH": str(place)},
+        cwd=place,
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 0, done.stderr
+    return done.stdout.splitlines()
+
+
+def test_a_recording_replays_to_the_same_decisions_compiled_and_plain(
+    tmp_path: Path, day_of_trouble: tuple[Report, list[Path]]
+) -> None:
+    _, files = day_of_trouble
+    compiled = told(wheel(tmp_path), files)
+    plain = told(HERE, files)
+    assert compiled[0] == native.COMPILED and plain[0] == native.PLAIN
+    assert compiled[1:] == plain[1:]
+    assert int(plain[1].split()[0]) > 1_000 and plain[1].split()[1] == "0"
+
+
+def test_without_a_compiler_the_wheel_is_whole_and_plain(tmp_path: Path) -> None:
+    place = wheel(tmp_path, CC=str(tmp_path / "no-such-compiler"))
+    assert not list(place.rglob("*.so")) and (place / "oatlink" / "rules.py").exists()
+    assert told(place, []) == [native.PLAIN]
+
+
+def test_a_snapshot_knows_what_a_compiled_engine_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A compiled class has no __dict__; what it says of itself is all that a snapshot has.
+    engine = Engine(SETTINGS)
+    whole = take(engine, 1)
+    monkeypatch.setattr(Engine, "__mypyc_attrs__", (*vars(engine), "__dict__"), raising=False)
+    assert take(engine, 1) == whole
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -24,6 +24,10 @@
 
     async def ask(self, *words: str | int) -> resp.Value:
         self.writer.write(resp.command(*words))
+        return await self.reply()
+
+    async def reply(self) -> resp.Value:
+        """The next answer."""
         while (frame := self.replies.take()) is None:
             data = await self.reader.read(65_536)
             if not data:
