--- a/oatlink/core/addresses.py
+++ b/oatlink/core/addresses.py
@@ -50,6 +50,7 @@
 LONGEST_SETTLE_US = 60_000_000
 STEADY_US = 30_000_000  # a path that held for so long has held
 HUSH_LEAST_US, HUSH_MOST_US = 20_000, 150_000  # nothing came for so long though answers are due: it is asked
+AGAIN_US = 10_000  # from seeing that another path has answered, to the last look
 HUSH_PART = 4.0  # times what an answer usually takes
 PRESUMED_US = 1_000_000  # another path heard within this shows that the box lives
 LAG, LAG_US = 3.0, 1_000.0
@@ -91,6 +92,7 @@
     hushes: int = 0  # times that it was asked for its silence, and was only slow
     looking: bool = False  # somebody looks whether it has fallen silent
     asked_us: int = NEVER  # when it was asked for its silence; `NEVER`: it is not
+    shown_us: int = NEVER  # when it was seen first that another path had answered since
     answer_us: float = 0.0  # what an answer takes
     probe_us: float = 0.0  # what the same question takes on each path
     looked_us: int = NEVER  # when it was last asked without need
@@ -222,7 +224,7 @@
         """A path has led to the box: a connection that proved itself, or an answered probe."""
         one = self.paths[at]
         one.heard_us, one.run_id = now_us, run_id or one.run_id
-        one.asked_us = NEVER
+        one.asked_us = one.shown_us = NEVER
         if probe:
             one.probe_us += (0.3 if one.probe_us else 1.0) * (took_us - one.probe_us)
         if one.lost >= LOST_MOST and now_us < one.next_us:
@@ -238,7 +240,7 @@
     def failed(self, at: int, how: str, now_us: int) -> None:
         """A dial or a probe has failed."""
         one = self.paths[at]
-        one.asked_us = NEVER
+        one.asked_us = one.shown_us = NEVER
         pause = min(FIRST_PAUSE_US << min(one.failures, 16), LONGEST_PAUSE_US)
         self._fail(one, how, now_us + round(pause * self._spread(0.5, 1.5)))
         self._leave(at, now_us)
@@ -272,7 +274,7 @@
         one = self.paths[at]
         one.out = max(0, one.out - 1)
         one.heard_us = one.answered_us = now_us
-        one.asked_us = NEVER
+        one.asked_us = one.shown_us = NEVER
         one.lost = one.hushes = 0
         one.answer_us += (0.1 if one.answer_us else 1.0) * (took_us - one.answer_us)
         self._mend(one, now_us)
@@ -337,7 +339,13 @@
             one.hushes += 1
             return [at, other], False, now_us + min(hush_us, HUSH_MOST_US)
         if any(now_us > other.heard_us >= one.asked_us for to, other in enumerate(self.paths) if to != at):
-            one.asked_us, one.out, one.looking = NEVER, 0, False
+            # Threat: a process that was late itself, and reads the other path's answer first. What has come over this
+            # one is read before the next look.
+            if one.shown_us == NEVER:
+                one.shown_us = now_us
+                return [], False, now_us + AGAIN_US
+            one.asked_us = one.shown_us = NEVER
+            one.out, one.looking = 0, False
             return [], True, 0
         return [], False, now_us + min(hush_us, HUSH_MOST_US)
 
--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -67,7 +67,8 @@
         """A box has left, or another has its name now: nothing of it is awaited."""
         name = state.box.name
         self._check_waits.pop(name, None)
-        self._races.pop((name, REPORT), None)
+        for key in [one for one in self._races if one[0] == name]:
+            del self._races[key]  # the next link of that name counts its dials from 1 again
         if state.report is not None and self._runs.get(state.report.run_id) == name:
             del self._runs[state.report.run_id]
 
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -70,7 +70,13 @@
     def _on_reloaded(self, given: m.AnyInput) -> None:
         """New settings, checked before; what is on its way keeps its class and its deadline."""
         assert isinstance(given, m.Reloaded)
+        admission = self._admission
         self._configure(given.settings)
+        # Threat: a reload amid a flood that lets all of it in.
+        admission.target_us, admission.least = self._admission.target_us, self._admission.least
+        self._admission = admission
+        for state in self._boxes.values():
+            state.paths.stagger_us = given.settings.links.stagger_ms * 1_000
         self.router.configure(router_settings(given.settings, self._classifier))
         self._out.append(m.Note("reload", "the new settings hold from now on"))
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -69,3 +69,16 @@
     rig.pass_us(60_000)
     assert sent(rig.ask("GET", KEY)).box == "p"
     assert rig.engine.settings is tight and msgspec.structs.asdict(rig.engine.settings)["seed"] == 3
+
+
+def test_a_reload_amid_a_flood_does_not_let_all_of_it_in() -> None:
+    rig = Rig()
+    rig.engine._admission.limit = 100.0
+    rig.engine._admission.back_us = 700_000
+    slower = TEMPLATE.replace("aim_ms: 600", "aim_ms: 1200").replace("aim_ms: 1000", "aim_ms: 1500")
+    rig.give(m.Reloaded(load_text(slower, "slower")))
+    one = rig.engine._admission
+    assert one.limit == 100.0 and one.back_us == 700_000 and one.target_us == 150_000  # of the shortest aim there is
+    stagger = load_text(TEMPLATE.replace("classes:", "links: { stagger_ms: 77 }, classes:"), "stagger")
+    rig.give(m.Reloaded(stagger))
+    assert all(state.paths.stagger_us == 77_000 for state in rig.engine._boxes.values())
