A check over several paths is tested to fail only after the last

Need: of fifteen things broken on purpose in the paths' decisions one was not noticed: a check that failed with its first path. Change: the test counts what the Router is told.

--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core.addresses import State
 from oatlink.core.snapshot import restore, take
@@ -96,11 +97,27 @@
     one.says[f"p {PU}"] = b""
     one.says[f"p {P6}"] = b""
     before = one.engine._boxes["p"].member
+    told: list[api.Checked] = []
+    handle = one.engine.router.handle
+
+    def noted(event: api.Event, now_us: int, more: bool = False) -> list[api.Action]:
+        if isinstance(event, api.Checked) and event.member == before:
+            told.append(event)
+        return handle(event, now_us, more)
+
+    one.engine.router.handle = noted  # type: ignore[method-assign]
+    one.engine._boxes["p"].check_out = True  # as the Router asks for it
     one.give(m.Inspected())
+    assert [event.outcome for event in told] == [api.Outcome.SERVED]
     belief = one.engine.router.belief(before)
     assert belief is not None and belief.role is Role.PRIMARY
     assert state(one, PU) is State.FAILED and state(one, P) is State.GOOD
     assert sent(one.ask("SET", PLAIN, 1)).address == P
+    one.says["p"] = b""
+    one.engine._boxes["p"].check_out = True
+    one.give(m.Inspected())
+    assert [event.outcome for event in told][-1] is api.Outcome.LATE
+    assert sum(event.outcome is not api.Outcome.SERVED for event in told) == 1
 
 
 def test_a_silent_probe_is_overtaken_by_the_next_path() -> None:
