--- a/oatlink/core/explain.py
+++ b/oatlink/core/explain.py
@@ -122,14 +122,21 @@
             if found is not None:
                 account.class_name, account.bank = found.rule.name, header.settings.banks[found.group].name
         if isinstance(entry.given, m.Ended) and entry.given.request == request:
-            first = entry.given.frames[0][:60].decode("utf-8", "replace").strip() if entry.given.frames else ""
+            given = entry.given
+            first = given.frames[0][:60].decode("utf-8", "replace").strip() if given.frames else ""
+            over = f" over {given.address}" if given.address else ""
             account.events.append(
-                f"{entry.now_us} attempt {entry.given.attempt} at {entry.given.box} ended: "
-                f"{entry.given.how} {first}".rstrip()
+                f"{entry.now_us} attempt {given.attempt} at {given.box}{over} ended: {given.how} {first}".rstrip()
             )
+        ask = engine.request(request)
+        at = {box for _, box, _, _ in ask.open.values()} if ask is not None else set()
+        for effect in effects:
+            if isinstance(effect, m.Shun) and effect.box in at:
+                account.events.append(f"{entry.now_us} {effect.box}: {effect.address} is silent, left")
         for effect in effects:
             if isinstance(effect, m.Send) and effect.request == request:
-                account.events.append(f"{entry.now_us} attempt {effect.attempt} sent to {effect.box}")
+                by = f" by {effect.address}" if effect.address else ""
+                account.events.append(f"{entry.now_us} attempt {effect.attempt} sent to {effect.box}{by}")
         if account.events and engine.request(request) is None and before >= request:
             break
     return account
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -9,12 +9,15 @@
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core.addresses import State
+from oatlink.core.explain import explain
+from oatlink.core.recording import Recorder, Recording
 from oatlink.core.snapshot import restore, take
 from oatlink.core.ways import MOST_DIALS
 from oatlink.interface import Role
 from oatlink.protocols.resp import command
 from oatlink.settings import SettingsError, load_text
 from tests.test_engine import KEY, PLAIN, TEMPLATE, Rig, info, sent
+from tests.test_recording import traced
 
 P, P6, PU = "127.0.0.1:1001", "[::1]:1001", "unix:/run/p"
 MORE = (
@@ -311,7 +314,9 @@
     copies: tuple[int, ...] = ()
 
 
-def explore(words: tuple[str, ...], depth: int) -> tuple[int, list[tuple[int, ...]]]:
+def explore(
+    words: tuple[str, ...], depth: int, steps: tuple[int, ...] = (1_000, 900_000)
+) -> tuple[int, list[tuple[int, ...]]]:
     """Play every order of what can befall a write over three paths; how many states, and each end's copies.
 
     What can befall an attempt: nothing of it was written, a part, all of it, or its answer has begun when the
@@ -325,7 +330,7 @@
     seen: set[tuple[object, ...]] = set()
     while todo:
         image, now, wake, send, box, left = todo.pop()
-        for what, passed in itertools.product(("not written", "part", "whole", "answer begun"), (1_000, 900_000)):
+        for what, passed in itertools.product(("not written", "part", "whole", "answer begun"), steps):
             one = Rig.__new__(Rig)
             one.__dict__.update(rig_fields(begun))
             one.engine, one.now, one.wake = restore(image, SEVERAL), now, wake
@@ -380,3 +385,18 @@
     one = rig()
     send = sent(one.ask("SET", PLAIN, 1))
     assert send.runs_from == len(command("SET", PLAIN, 1))
+
+
+def test_explain_tells_over_which_address_and_what_befell_it() -> None:
+    with traced(Recorder("test", SEVERAL, 1_000_000_000)) as parts:
+        one = rig()
+        one.end(sent(one.ask("SET", PLAIN, 0)))
+        send = sent(one.ask("XADD", KEY, "IDMP", "a", "t1", "*", "f", "v"))
+        one.mute.add(PU)
+        one.pass_us(100_000)
+        one.give(m.Ended(send.request, send.attempt, "p", "reset", 60_000, one.now - 60_000, address=PU))
+        one.end(one.sent[-1], [b"$3\r\n1-0\r\n"])
+    recording = Recording(b"".join(parts))
+    told = " / ".join(explain(recording.header, recording.entries(), send.request).events)
+    assert f"attempt 0 sent to p by {PU}" in told and f"p: {PU} is silent, left" in told
+    assert f"attempt 0 at p over {PU} ended: reset" in told and f"attempt 1 sent to p by {P6}" in told
