--- a/oatlink/protocols/resp.py
+++ b/oatlink/protocols/resp.py
@@ -11,30 +11,16 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from oatlink.protocols.buffer import DEFAULT_LIMITS as DEFAULT_LIMITS
+from oatlink.protocols.buffer import Buffer
+from oatlink.protocols.buffer import Limits as Limits
+from oatlink.protocols.buffer import ProtocolError as ProtocolError
+
 CRLF = b"\r\n"
 MAX_HEADER = 64  # bytes of a length line: a 64 bit number and its sign are 20
-BIG = 65_536  # bytes from which a bulk is copied once only
 INT64 = 2**63
 
 
-class ProtocolError(Exception):
-    """Bytes that the specification does not allow; the text is what a server answers, without the dash."""
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """What a peer may announce. Bytes, items and levels; inline commands and simple lines share a limit."""
-
-    bulk_bytes: int = 64 * 1024 * 1024
-    message_bytes: int = 128 * 1024 * 1024
-    items: int = 1_048_576
-    depth: int = 32
-    inline_bytes: int = 65_536
-
-
-DEFAULT_LIMITS = Limits()
-
-
 # ---- Values ----
 
 
@@ -215,38 +201,6 @@
 # ---- Reading ----
 
 
-class _Buffer:
-    """Bytes received and not yet taken."""
-
-    def __init__(self, limits: Limits) -> None:
-        self.limits = limits
-        self.data = bytearray()
-        self.at = 0  # start of what is not yet taken
-
-    def feed(self, data: bytes) -> None:
-        """Add bytes; what was taken is let go first."""
-        if self.at:
-            if self.at == len(self.data):
-                self.data.clear()
-                self.at = 0
-            elif self.at > BIG:
-                del self.data[: self.at]
-                self.at = 0
-        self.data += data
-
-    @property
-    def pending(self) -> int:
-        """Bytes held."""
-        return len(self.data) - self.at
-
-    def cut(self, start: int, end: int) -> bytes:
-        """A copy of a stretch; a large one is copied once only."""
-        if end - start < BIG:
-            return bytes(self.data[start:end])
-        with memoryview(self.data) as view:
-            return bytes(view[start:end])
-
-
 def _number(text: bytes, what: str) -> int:
     """A decimal length or integer as the specification writes it: a sign, digits, nothing else."""
     digits = text[1:] if text[:1] in (b"-", b"+") else text
@@ -262,7 +216,7 @@
     """
 
     def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
-        self._buffer = _Buffer(limits)
+        self._buffer = Buffer(limits)
         self._limits = limits
         self._left = 0  # arguments still to come of the array that was begun
         self._bulk = -1  # length of the bulk string that was begun
@@ -420,7 +374,7 @@
     """
 
     def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
-        self._buffer = _Buffer(limits)
+        self._buffer = Buffer(limits)
         self._limits = limits
         self._scan = 0  # offset from the frame's start up to which it is known to be well formed
         self._open: list[list[int]] = []  # of each open aggregate: values still to come, 1 if an attribute
