Reports that cross on two paths do not make a box a new one

A report asked for later, answered earlier and held on a slow path has a lower offset than one that came before it; the engine took that for a box filled anew and gave it a new member number, which loses what is out at it. Change: a box has gone back only where the lower offset was asked for after the higher one had come; else it is passed over.

--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -146,20 +146,17 @@
             report = _with_run(report, old)
         # Threat: a box that started again, or was filled anew, has less than it once showed.
         again = old is not None and old.run_id and report.run_id != old.run_id
-        back = (
-            old is not None
-            and not again
-            and report.replid == old.replid
-            and 0 <= report.offset < old.offset
-            and asked_us >= state.asked_us
-        )
+        lower = old is not None and not again and report.replid == old.replid and 0 <= report.offset < old.offset
+        # Threat: two reports on the way at once, over two paths. Only one that was asked for when the higher offset was
+        # known already shows that the box has gone back; another one is older news, however it came.
+        back = lower and asked_us >= state.told_us
         first = old is None
         if report.run_id and (old is None or again):
             if old is not None and self._runs.get(old.run_id) == state.box.name:
                 del self._runs[old.run_id]
             self._runs[report.run_id] = state.box.name
-        if old is None or again or back or asked_us >= state.asked_us:
-            state.report, state.asked_us = report, asked_us
+        if old is None or again or back or (asked_us >= state.asked_us and not lower):
+            state.report, state.asked_us, state.told_us = report, asked_us, self._now
         state.heard_us = self._now
         group = self._groups[state.box.bank]
         if report.role == "primary" and not report.loading and report.offset >= 0:
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -34,7 +34,8 @@
     paths: Paths
     report: BoxReport | None = None
     heard_us: int = 0
-    asked_us: int = 0
+    asked_us: int = 0  # when the report was asked for
+    told_us: int = 0  # when it came
     started_us: int = 0
     check_out: bool = False  # the Router has asked for a check
     probe_out: bool = False
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -400,3 +400,20 @@
     told = " / ".join(explain(recording.header, recording.entries(), send.request).events)
     assert f"attempt 0 sent to p by {PU}" in told and f"p: {PU} is silent, left" in told
     assert f"attempt 0 at p over {PU} ended: reset" in told and f"attempt 1 sent to p by {P6}" in told
+
+
+def test_reports_that_cross_on_two_paths_do_not_make_a_box_a_new_one() -> None:
+    one = rig()
+    member = one.engine._boxes["p"].member
+    asked = one.now
+    one.pass_us(5_000)
+    # Asked first over a slow path, answered last by the box: it knows more. The other one lay on a silent path.
+    one.give(m.Probed("p", "reply", asked, 5_000, info("primary", 300, run="p"), P))
+    one.pass_us(1_000)
+    one.give(m.Probed("p", "reply", asked + 2_000, 4_000, info("primary", 200, run="p"), PU))
+    report = one.engine._boxes["p"].report
+    assert one.engine._boxes["p"].member == member and report is not None and report.offset == 300
+    # Asked when 300 was known, and less than that: now it has gone back.
+    one.pass_us(1_000)
+    one.give(m.Probed("p", "reply", one.now - 300, 300, info("primary", 250, run="p"), P))
+    assert one.engine._boxes["p"].member != member
