--- a/oatlink/audit/judge.py
+++ b/oatlink/audit/judge.py
@@ -165,7 +165,12 @@
             if how == "served" and took <= 600_000:
                 verdict.in_time[label] += 1
             if name == b"XADD":
-                found = _id(call.reply[call.reply.index(b"\r\n") + 2 : -2]) if how == "served" else None
+                try:
+                    found = _id(call.reply[call.reply.index(b"\r\n") + 2 : -2]) if how == "served" else None
+                except ValueError:
+                    # An answer too many before it has shifted the row: what came is another command's.
+                    verdict.broken["one_answer"].append(f"{place}: {call.args!r:.80} got {call.reply[:40]!r}")
+                    continue
                 self._posts.append(_Post(call.args[1], place, call.args[4], call.sent_us, call.replied_us, found, how))
                 if how == "served":
                     verdict.slowest_served_post_us = max(verdict.slowest_served_post_us, took)
