One place each: draws, ends of attempts, effects for links, values, upkeep of paths

The same draw stood in two modules, the end of a connection's attempts, the close of what a dial had made, the values of Bind and DataRow and the marks of temporary relations more than once; seven branches of the gateway looked up the same link; a request on a box of several paths sorted them all to find whether one is better; an attempt that ended on a box of one path reckoned when to look at paths that it does not have. Change: core/draws.py; Ways._advance_or_end and _upkeep_next; Want.close; Link.carry_out; _Inside.values; _Walk._made; Paths finds a better one without sorting, the quickest probe is found once; Paths.silenced, a second name of failed, is gone. Behaviour as it was. Measured: ruff, mypy and the tests of the modules touched pass, the compiled replay among them.

--- a/oatlink/cli/operators.py
+++ b/oatlink/cli/operators.py
@@ -110,6 +110,11 @@
         name: dict(part.partition("=")[::2] for part in value.split(",", 10))
         for name, value in sections.get("paths", {}).items()
     }
+    return where_several(rows)
+
+
+def where_several(rows: dict[str, dict[str, str]]) -> dict[str, dict[str, str]]:
+    """Paths by box and place, or none where every box has one address only."""
     return rows if any(not name.endswith("/0") for name in rows) else {}
 
 
@@ -190,7 +195,7 @@
     paths = {f"{row.pop('box')}/{row.pop('place')}": row for row in gateway.engine.path_rows()}
     await gateway.stop()
     shown = {name: {key: str(value) for key, value in row.items()} for name, row in paths.items()}
-    return rows, shown if any(not name.endswith("/0") for name in shown) else {}
+    return rows, where_several(shown)
 
 
 @click.command()
--- a/oatlink/core/addresses.py
+++ b/oatlink/core/addresses.py
@@ -9,8 +9,8 @@
 
 Order, for a dial and for the choice of the path that new requests go on:
 
-1. good, untried, suspect, then failed ones whose next try has come; one that lags behind another (answers to the same
-   question take `LAG` times as long, and `LAG_US` more) comes after all good ones;
+1. good and untried alike, suspect, then failed ones whose next try has come; one that lags behind another (answers to
+   the same question take `LAG` times as long, and `LAG_US` more) comes after all good ones;
 2. a Unix socket, then an address in the gateway's own hall, then the others;
 3. IPv6 before IPv4 before names (RFC 6724, section 6), then the order of the list.
 
@@ -28,7 +28,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import xxhash
+from oatlink.core.draws import drawn
 
 
 class State(Enum):
@@ -138,8 +138,7 @@
     def _spread(self, low: float, high: float) -> float:
         """Drawn between two numbers, by the seed."""
         self.draws += 1
-        drawn = xxhash.xxh32_intdigest(self.draws.to_bytes(8, "big"), self.seed) / 2**32
-        return low + (high - low) * drawn
+        return low + (high - low) * drawn(self.draws, self.seed)
 
     # ---- Which ----
 
@@ -154,7 +153,7 @@
         if current.usable:
             if current.left and now_us - self.since_us > STEADY_US:
                 current.left = 0
-            better = self._better(now_us, current)
+            better = self._better(now_us)
             if better != self.current:
                 self.current, self.since_us = better, now_us
             return self.current
@@ -165,35 +164,39 @@
             self.current, self.since_us = found, now_us
         return self.current
 
-    def _better(self, now_us: int, current: Path) -> int:
+    def _better(self, now_us: int) -> int:
         """The path to use instead of a usable one: it ranks before it, and has been good for long enough."""
-        mine = self._rank(self.current, now_us)
-        for at in self.order(now_us):
-            one = self.paths[at]
+        least, best = self._least_probe_us(), self.current
+        rank = self._rank(best, least)
+        for at, one in enumerate(self.paths):
             settled = min(SETTLE_US << min(one.left, 5), LONGEST_SETTLE_US)
-            if one.state is State.GOOD and self._rank(at, now_us) < mine and now_us - one.good_us >= settled:
-                return at
-        return self.current
+            if at != self.current and one.state is State.GOOD and now_us - one.good_us >= settled:
+                other = self._rank(at, least)
+                if other < rank:
+                    best, rank = at, other
+        return best
 
     def order(self, now_us: int) -> list[int]:
         """The paths worth a try now, best first; where all have failed and none is due, the one due next."""
+        least = self._least_probe_us()
         found = sorted(
             (at for at, one in enumerate(self.paths) if one.state is not State.FAILED or now_us >= one.next_us),
-            key=lambda at: self._rank(at, now_us),
+            key=lambda at: self._rank(at, least),
         )
         return found or [min(range(len(self.paths)), key=lambda at: (self.paths[at].next_us, at))]
 
-    def _rank(self, at: int, now_us: int) -> tuple[int, int, int, int]:
+    def _least_probe_us(self) -> float:
+        """What the quickest usable path's probes take; 0 where none is known."""
+        return min((one.probe_us for one in self.paths if one.probe_us and one.usable), default=0.0)
+
+    def _rank(self, at: int, least: float) -> tuple[int, int, int, int]:
         one = self.paths[at]
-        state = (State.GOOD, State.UNTRIED, State.SUSPECT, State.FAILED).index(one.state)
-        least = min((other.probe_us for other in self.paths if other.probe_us and other.usable), default=0.0)
-        lags = one.probe_us > LAG * least + LAG_US and least > 0
+        if one.usable:
+            state = int(least > 0 and one.probe_us > LAG * least + LAG_US)
+        else:
+            state = 2 if one.state is State.SUSPECT else 3
         kind = kind_of(one.address)
         near = 0 if kind == "unix" else 1 if one.hall and one.hall == self.hall else 2
-        if one.usable and not lags:
-            state = 0
-        elif one.usable:
-            state = 1
         return state, near, _KINDS[kind], at
 
     # ---- Dials and reports ----
@@ -238,7 +241,7 @@
             one.state, one.good_us, one.why = State.GOOD, now_us, ""
 
     def failed(self, at: int, how: str, now_us: int) -> None:
-        """A dial or a probe has failed."""
+        """A dial or a probe has failed, or the path's connections are cut for its silence."""
         one = self.paths[at]
         one.asked_us = one.shown_us = NEVER
         pause = min(FIRST_PAUSE_US << min(one.failures, 16), LONGEST_PAUSE_US)
@@ -349,10 +352,6 @@
             return [], True, 0
         return [], False, now_us + min(hush_us, HUSH_MOST_US)
 
-    def silenced(self, at: int, now_us: int) -> None:
-        """A path's connections are cut for its silence."""
-        self.failed(at, "silent", now_us)
-
     # ---- Upkeep ----
 
     def to_look_at(self, now_us: int) -> list[int]:
--- a/oatlink/core/overload.py
+++ b/oatlink/core/overload.py
@@ -25,8 +25,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-import xxhash
-
+from oatlink.core.draws import drawn
 from oatlink.settings.model import RequestClass
 
 LOOK_US = 50_000  # how often the limit is set
@@ -79,8 +78,7 @@
             if past(waited_us, rule) or (waits and open_now >= self._limit_of(now_us, rule, party)):
                 self.refused += 1
                 self.draws += 1
-                drawn = xxhash.xxh32_intdigest(self.draws.to_bytes(8, "big"), self.seed) / 2**32
-                return round(self.back_us * (0.5 + drawn))
+                return round(self.back_us * (0.5 + drawn(self.draws, self.seed)))
         self.taken += 1
         self._charge(now_us, party)
         return 0
--- a/oatlink/core/statements.py
+++ b/oatlink/core/statements.py
@@ -168,11 +168,12 @@
         if node.lockingClause:
             self.raise_to(Does.LOCK)
         if node.intoClause:
-            self._into(node.intoClause)
+            self._made(node.intoClause.rel)
 
-    def _into(self, node: Any) -> None:
+    def _made(self, relation: Any) -> None:
+        """A relation is made; a temporary one stays in its session."""
         self.raise_to(Does.WRITE)
-        if node.rel is not None and node.rel.relpersistence == "t":
+        if relation is not None and relation.relpersistence == "t":
             self.session.add("temporary")
 
     def _in_InsertStmt(self, _: Any) -> None:
@@ -271,9 +272,7 @@
         self.raise_to(Does.SESSION)
         self.session.add("cursor")
 
-    def _ClosePortalStmt(self, node: Any) -> None:
-        self.raise_to(Does.SESSION)
-        self.session.add("cursor")
+    _ClosePortalStmt = _FetchStmt
 
     def _ListenStmt(self, node: Any) -> None:
         # A standby refuses LISTEN: notices are told by the primary alone.
@@ -289,26 +288,20 @@
         self.raise_to(Does.SESSION)
         self.session.add("settings")
 
-    def _LoadStmt(self, node: Any) -> None:
-        self.raise_to(Does.SESSION)
-        self.session.add("settings")
+    _LoadStmt = _DiscardStmt
 
     def _ConstraintsSetStmt(self, node: Any) -> None:
         self.raise_to(Does.CONTROL)
         self.local = True
 
     def _CreateStmt(self, node: Any) -> None:
-        self.raise_to(Does.WRITE)
-        if node.relation.relpersistence == "t":
-            self.session.add("temporary")
+        self._made(node.relation)
 
     def _ViewStmt(self, node: Any) -> None:
-        self.raise_to(Does.WRITE)
-        if node.view.relpersistence == "t":
-            self.session.add("temporary")
+        self._made(node.view)
 
     def _CreateTableAsStmt(self, node: Any) -> None:
-        self._into(node.into)
+        self._made(node.into.rel)
 
 
 def _read_only(options: Any) -> bool:
--- a/oatlink/core/ways.py
+++ b/oatlink/core/ways.py
@@ -39,9 +39,8 @@
             self.settings.links.stagger_ms * 1_000,
             self.settings.peers,
             self.settings.seed + self._last_member,
-            [],
+            [Path(box.address)],
         )
-        paths.paths = [Path(box.address)]
         self._list_paths(paths, box, taken)
         return paths
 
@@ -68,6 +67,12 @@
             paths.upkeep_us = at_us
             self._look_at(at_us, box, UPKEEP)
 
+    def _upkeep_next(self, state: BoxState) -> None:
+        """Look again when the next path is due; one on which something has gone wrong is due before the others."""
+        paths = state.paths
+        if len(paths.paths) > 1:
+            self._upkeep(paths, state.box.name, paths.next_look_us(self._now))
+
     # ---- Attempts ----
 
     def _attempt(self, state: BoxState, dial: int, wanted: str = "") -> None:
@@ -128,10 +133,14 @@
         if given.how == "reply":
             self._out.append(m.Discard(given.box, given.dial, given.address))
         race.how = how
-        self._advance(state, given.dial, race)
+        self._advance_or_end(state, given.dial, race)
+
+    def _advance_or_end(self, state: BoxState, dial: int, race: Race) -> None:
+        """Go on with a connection's attempts, or tell that there is none."""
+        self._advance(state, dial, race)
         if not race.out and not race.queue:
-            del self._races[given.box, given.dial]
-            self._out.append(m.NoPath(given.box, given.dial, how))
+            del self._races[state.box.name, dial]
+            self._out.append(m.NoPath(state.box.name, dial, race.how))
 
     def _dial_waiting(self) -> None:
         """Attempts that waited for others to end."""
@@ -139,10 +148,7 @@
             name, dial = self._dials_wait.popleft()
             state, race = self._boxes.get(name), self._races.get((name, dial))
             if state is not None and race is not None:
-                self._advance(state, dial, race)
-                if not race.out and not race.queue:
-                    del self._races[name, dial]
-                    self._out.append(m.NoPath(name, dial, race.how))
+                self._advance_or_end(state, dial, race)
 
     def _shown(
         self, state: BoxState, address: str, how: str, report: BoxReport, asked_us: int, took_us: int, probe: bool
@@ -164,7 +170,7 @@
             one.next_us = self._now + LONG_US
             return how
         state.paths.failed(at, how, self._now)
-        self._upkeep(state.paths, state.box.name, state.paths.next_look_us(self._now))
+        self._upkeep_next(state)
         return how
 
     def _stranger(self, state: BoxState, at: int, report: BoxReport, asked_us: int) -> str:
@@ -212,7 +218,7 @@
                 paths.upkeep_us = 0
                 for at in paths.to_look_at(self._now) if len(paths.paths) > 1 else ():
                     self._out.append(m.Probe(box, paths.paths[at].address))
-                self._upkeep(paths, box, paths.next_look_us(self._now))
+                self._upkeep_next(state)
             return
         at = UPKEEP - 1 - what
         if at >= len(paths.paths):
@@ -222,8 +228,8 @@
             self._out.append(m.Probe(box, paths.paths[one].address))
         if cut:
             address = paths.paths[at].address
-            paths.silenced(at, self._now)
-            self._upkeep(paths, box, paths.next_look_us(self._now))
+            paths.failed(at, "silent", self._now)
+            self._upkeep_next(state)
             self._out.append(m.Note("address", f"{box}: {address} is silent, others answer: left"))
             self._out.append(m.Shun(box, address))
         elif again_us:
@@ -254,7 +260,7 @@
             return False
         only = paths.only_the_path(at, how, sent_us, self._now)
         paths.ended(at, how, sent_us, self._now)
-        self._upkeep(paths, state.box.name, paths.next_look_us(self._now))
+        self._upkeep_next(state)
         return only
 
     def path_rows(self) -> list[dict[str, object]]:
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -262,6 +262,11 @@
     made: dict[str, Connection] = field(default_factory=dict)  # by address, until the engine has chosen
     out: set[str] = field(default_factory=set)
 
+    def close(self) -> None:
+        """End what has been made and not used."""
+        for one in list(self.made.values()):
+            one.close("reset")
+
 
 class Link:
     """All connections of a gateway to one box."""
@@ -338,6 +343,25 @@
 
     # ---- Effects ----
 
+    def carry_out(self, effect: m.AnyEffect) -> None:
+        """Any effect for this box but `Send`."""
+        if isinstance(effect, m.Probe):
+            self.probe(effect.address)
+        elif isinstance(effect, m.Dial):
+            self.dial(effect)
+        elif isinstance(effect, m.Use):
+            self.use(effect)
+        elif isinstance(effect, m.Discard):
+            self.discard(effect)
+        elif isinstance(effect, m.NoPath):
+            self.no_path(effect)
+        elif isinstance(effect, m.Shun):
+            self.shun(effect.address)
+        elif isinstance(effect, m.DropIdle):
+            self.drop_idle()
+        elif isinstance(effect, m.Release):
+            self.release(effect.lease)
+
     def send(self, send: m.Send) -> None:
         """Carry out `Send`."""
         if send.lease:
@@ -482,8 +506,7 @@
         connection = want.made.pop(effect.address, None) if want is not None else None
         if want is None or connection is None:
             return
-        for other in list(want.made.values()):
-            other.close("reset")
+        want.close()
         if want.lease:
             waiting = self._lease_waiting.pop(want.lease, None)
             if waiting is None:  # released meanwhile
@@ -514,8 +537,7 @@
         want = self._wants.pop(effect.dial, None)
         if want is None:
             return
-        for one in list(want.made.values()):
-            one.close("reset")
+        want.close()
         if want.lease:
             waiting = self._lease_waiting.pop(want.lease, deque())
         else:
@@ -667,8 +689,7 @@
             for dial, want in list(self._wants.items()):
                 for address in sorted(want.out):  # the engine counts what is out
                     self._shell.feed(m.Dialled(self.name, dial, address, "refused", self.now(), 0))
-                for one in list(want.made.values()):
-                    one.close("reset")
+                want.close()
             self._wants.clear()
         for task in list(self._tasks):
             task.cancel()
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -239,32 +239,12 @@
             if self._wake is not None:
                 loop.remove_timeout(self._wake)
             self._wake = loop.call_later(max(0.0, (effect.at_us - now_us()) / 1e6), self._woken)
-        elif isinstance(effect, m.Probe):
-            if effect.box in self._links:
-                self._links[effect.box].probe(effect.address)
-        elif isinstance(effect, m.Dial):
-            if effect.box in self._links:
-                self._links[effect.box].dial(effect)
-            else:
+        elif isinstance(effect, m.Probe | m.Dial | m.Use | m.Discard | m.NoPath | m.Shun | m.DropIdle | m.Release):
+            link = self._links.get(effect.box)
+            if link is not None:
+                link.carry_out(effect)
+            elif isinstance(effect, m.Dial):
                 self.feed(m.Dialled(effect.box, effect.dial, effect.address, "refused", now_us(), 0))
-        elif isinstance(effect, m.Use):
-            if effect.box in self._links:
-                self._links[effect.box].use(effect)
-        elif isinstance(effect, m.Discard):
-            if effect.box in self._links:
-                self._links[effect.box].discard(effect)
-        elif isinstance(effect, m.NoPath):
-            if effect.box in self._links:
-                self._links[effect.box].no_path(effect)
-        elif isinstance(effect, m.Shun):
-            if effect.box in self._links:
-                self._links[effect.box].shun(effect.address)
-        elif isinstance(effect, m.DropIdle):
-            if effect.box in self._links:
-                self._links[effect.box].drop_idle()
-        elif isinstance(effect, m.Release):
-            if effect.box in self._links:
-                self._links[effect.box].release(effect.lease)
         elif isinstance(effect, m.Pause):
             client = self._clients.get(effect.client)
             if client is not None:
--- a/oatlink/protocols/pgwire.py
+++ b/oatlink/protocols/pgwire.py
@@ -198,6 +198,16 @@
         self._at = end + 1
         return found
 
+    def values(self) -> tuple[bytes | None, ...]:
+        """So many values as an Int16 says, each with its length; None is NULL."""
+        found: list[bytes | None] = []
+        for _ in range(self.count()):
+            size = self.int32()
+            if size < -1:
+                _wrong(f"{self._what}: expected a length of -1 or more, got {size}")
+            found.append(None if size < 0 else self.raw(size))
+        return tuple(found)
+
     def rest(self) -> bytes:
         found, self._at = self._body[self._at :], len(self._body)
         return found
@@ -292,17 +302,12 @@
     inside = _Inside("Bind", message.body)
     portal, statement = inside.text(), inside.text()
     formats = tuple(_format(inside.int16()) for _ in range(inside.count()))
-    values: list[bytes | None] = []
-    for _ in range(inside.count()):
-        size = inside.int32()
-        if size < -1:
-            _wrong(f"Bind: expected a length of -1 or more, got {size}")
-        values.append(None if size < 0 else inside.raw(size))
+    values = inside.values()
     results = tuple(_format(inside.int16()) for _ in range(inside.count()))
     inside.end()
     if len(formats) > 1 and len(formats) != len(values):
         _wrong(f"Bind: expected 0, 1 or {len(values)} parameter formats, got {len(formats)}")
-    return Bind(portal, statement, formats, tuple(values), results)
+    return Bind(portal, statement, formats, values, results)
 
 
 def _format(code: int) -> int:
@@ -351,14 +356,9 @@
 def row(message: Message) -> tuple[bytes | None, ...]:
     """A DataRow's values; None is NULL."""
     inside = _Inside("DataRow", message.body)
-    values: list[bytes | None] = []
-    for _ in range(inside.count()):
-        size = inside.int32()
-        if size < -1:
-            _wrong(f"DataRow: expected a length of -1 or more, got {size}")
-        values.append(None if size < 0 else inside.raw(size))
+    values = inside.values()
     inside.end()
-    return tuple(values)
+    return values
 
 
 def ready(message: Message) -> bytes:
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -156,7 +156,7 @@
     assert not cut and not asked and last == again + AGAIN_US
     asked, cut, later = one.look(0, last)
     assert cut and not asked and later == 0
-    one.silenced(0, last)
+    one.failed(0, "silent", last)
     assert one.paths[0].state is State.FAILED and current(one, last) == FOUR
 
     slow = paths(UNIX, FOUR)
@@ -284,7 +284,7 @@
         else:
             _, cut, _ = one.look(at, now)
             if cut:
-                one.silenced(at, now)
+                one.failed(at, "silent", now)
                 out[at] = 0
         chosen = one.choose(now)
         # New work is never on a path known to be bad while another may be used.
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,7 @@
 from oatlink.core import messages as m
 from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.gateway.clock import CLIENTS_A_TURN, Marks, patience
+from oatlink.gateway.server import Gateway
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.standins.box import Work
@@ -222,21 +224,30 @@
     asyncio.run(test())
 
 
+def at_each_command(gateway: Gateway, do: Callable[[m.Asked], None]) -> None:
+    """Something to do in a gateway's process before the engine handles each command."""
+    handle = gateway.engine.handle
+
+    def handled(given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
+        if isinstance(given, m.Asked):
+            do(given)
+        return handle(given, now_us)
+
+    gateway.engine.handle = handled  # type: ignore[method-assign]
+
+
 def test_a_pipeline_is_not_late_by_its_own_length() -> None:
     async def test() -> None:
         embedded = Embedded(1, 3, 1)
         end = await embedded.start()
         gateway, port, _ = await gateway_for(embedded)
         late: list[int] = []
-        handle = gateway.engine.handle
 
-        def slow(given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
-            if isinstance(given, m.Asked):
-                late.append(max(given.late_us, given.waited_us))
-                time.sleep(0.004)
-            return handle(given, now_us)
+        def slowly(given: m.Asked) -> None:
+            late.append(max(given.late_us, given.waited_us))
+            time.sleep(0.004)
 
-        gateway.engine.handle = slow  # type: ignore[method-assign]
+        at_each_command(gateway, slowly)
         wire = await Wire.open(port)
         wire.writer.write(resp.command("GET", "k") * 64)
         for _ in range(64):
@@ -255,14 +266,7 @@
         end = await embedded.start()
         gateway, port, _ = await gateway_for(embedded)
         asked: list[int] = []
-        handle = gateway.engine.handle
-
-        def noted(given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
-            if isinstance(given, m.Asked):
-                asked.append(given.client)
-            return handle(given, now_us)
-
-        gateway.engine.handle = noted  # type: ignore[method-assign]
+        at_each_command(gateway, lambda given: asked.append(given.client))
         first, second = await Wire.open(port), await Wire.open(port)
         # Threat: thousands of PINGs in one read never fill the pipeline, so one client had the loop for all of them.
         first.writer.write(resp.command("PING") * 4_000)
@@ -286,14 +290,7 @@
         end = await embedded.start()
         gateway, port, _ = await gateway_for(embedded)
         late: list[int] = []
-        handle = gateway.engine.handle
-
-        def noted(given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
-            if isinstance(given, m.Asked):
-                late.append(max(given.late_us, given.waited_us))
-            return handle(given, now_us)
-
-        gateway.engine.handle = noted  # type: ignore[method-assign]
+        at_each_command(gateway, lambda given: late.append(max(given.late_us, given.waited_us)))
         wire = await Wire.open(port)
         wire.writer.write(resp.command("GET", "k") * 64)
         await asyncio.sleep(0.03)
