--- a/oatlink/adapter.py
+++ b/oatlink/adapter.py
@@ -5,26 +5,15 @@
 
 import math
 import sys
-from typing import BinaryIO, TypeVar
+from typing import BinaryIO
 
 import msgspec
 from msgspec import field
 
 from oatlink import interface as api
+from oatlink.options import Options, Wire, WireError, to_settings, word
 from oatlink.rules import Router
 
-FRESHNESS = {
-    "update": api.Freshness.WRITE,
-    "latest": api.Freshness.LATEST,
-    "loose": api.Freshness.ANY,
-    "own_writes": api.Freshness.SESSION,
-    "recent": api.Freshness.BOUNDED,
-}
-EFFECTS = {
-    "idempotent": api.Effect.IDEMPOTENT,
-    "deduplicated": api.Effect.KEYED,
-    "at_most_once": api.Effect.UNSAFE,
-}
 OUTCOMES = {
     "GOOD": api.Outcome.SERVED,
     "BAD": api.Outcome.ERROR,
@@ -45,72 +34,6 @@
 }
 NOTE_ROLES = {1: api.Role.PRIMARY, 2: api.Role.REPLICA}
 
-T = TypeVar("T")
-
-
-class WireError(Exception):
-    """Input that the wire does not allow, in plain words."""
-
-
-class Wire(msgspec.Struct, rename="pascal"):
-    """Base of all that is read: names in the wire's case, unknown fields passed over."""
-
-
-class ClassOptions(Wire):
-    name: str
-    goal_time_us: int
-    deadline_us: int
-    effect: str
-    gain: float
-    late_worth: float = 0.0
-    window_us: int = 0
-
-
-class FamilyOptions(Wire):
-    freshness: list[str]
-    lag_allowed_us: list[int] = field(default_factory=list)
-    base_time_us: int = 0
-    server_checks: str = "off"
-    session_marks: str = "client"
-
-
-class LimitOptions(Wire):
-    max_attempts: int = 6
-    max_open: int = 20_000
-    may_probe: bool = False
-    cancel: bool = False
-    second_copies: bool = False
-    retry_after: bool = False
-    max_retry_after_us: int = 0
-
-
-class Obligations(Wire):
-    ask_within_us: int = 10_000_000
-    cold_share: float = 1.0
-    warm_after_us: int = 0
-    overload_factor: float = 3.0
-    fall_us: int = 2_000_000
-    dropped_stay_open: bool = False
-
-
-class Tenant(Wire):
-    name: str
-    allowance_per_s: float
-
-
-class Options(Wire):
-    classes: list[ClassOptions]
-    family_info: FamilyOptions
-    zone: str
-    discovery: str = "push"
-    limits: LimitOptions = field(default_factory=LimitOptions)
-    obligations: Obligations = field(default_factory=Obligations)
-    peers_total: int = 1
-    step_us: int = 1_000
-    tenants: list[Tenant] = field(default_factory=list)
-    over_share_worth: float = 1.0
-
-
 class Line(Wire):
     server: int
     group: int
@@ -200,67 +123,11 @@
     now_us: int = field(name="NowUs")
 
 
-def word(table: dict[str, T], key: str, what: str) -> T:
-    """Translate one word of the wire."""
-    if key not in table:
-        raise WireError(f"unknown {what} {key!r}")
-    return table[key]
-
-
-def to_settings(boot: Boot) -> api.Settings:
-    """The router's settings from an instance's first message."""
-    options, family, limits = boot.options, boot.options.family_info, boot.options.limits
-    if len(family.freshness) != len(options.classes):
-        raise WireError("FamilyInfo.Freshness does not match Classes")
-    lags = family.lag_allowed_us or [0] * len(options.classes)
-    if len(lags) != len(options.classes):
-        raise WireError("FamilyInfo.LagAllowedUs does not match Classes")
-    classes = tuple(
-        api.RequestClass(
-            name=one.name,
-            freshness=word(FRESHNESS, fresh, "freshness"),
-            effect=word(EFFECTS, one.effect, "effect"),
-            aim_us=one.goal_time_us,
-            deadline_us=one.deadline_us,
-            worth=one.gain,
-            late_worth=one.late_worth,
-            staleness_us=lag,
-            repeat_window_us=one.window_us,
-        )
-        for one, fresh, lag in zip(options.classes, family.freshness, lags, strict=True)
-    )
-    rules = options.obligations
-    return api.Settings(
-        seed=boot.nonce64,
-        zone=options.zone,
-        classes=classes,
-        peers=options.peers_total,
-        step_us=options.step_us,
-        tenant_rates=tuple((one.name, one.allowance_per_s) for one in options.tenants),
-        over_share_worth=options.over_share_worth,
-        max_attempts=limits.max_attempts,
-        max_open=limits.max_open,
-        may_probe=limits.may_probe,
-        may_cancel=limits.cancel,
-        second_copies=limits.second_copies,
-        max_retry_after_us=limits.max_retry_after_us if limits.retry_after else 0,
-        must_ask_roster=options.discovery == "ask",
-        ask_within_us=rules.ask_within_us,
-        members_check_reads=family.server_checks != "off",
-        router_remembers_sessions=family.session_marks == "router",
-        cold_share=rules.cold_share,
-        warm_after_us=rules.warm_after_us,
-        overload_factor=rules.overload_factor,
-        fall_us=rules.fall_us,
-        dropped_stay_open=rules.dropped_stay_open,
-    )
-
-
 class Instance:
     """One router and what its wire needs remembered: units and attempts' base time."""
 
     def __init__(self, boot: Boot) -> None:
-        self.router = Router(to_settings(boot))
+        self.router = Router(to_settings(boot.options, boot.nonce64))
         self.base_us = boot.options.family_info.base_time_us
 
     def note(self, pos_role: int) -> api.Report | None:
--- /dev/null
+++ b/oatlink/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on the users' platform: their protocol on sockets, straight around the Router. It decides nothing."""
--- /dev/null
+++ b/oatlink/platform/config.py
@@ -0,0 +1,105 @@
+"""What a gateway is told: the GW_ variables and the file they name. Every mistake is one line that names its place."""
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from oatlink.interface import Settings
+from oatlink.options import Options, WireError, to_settings
+
+MOST_BYTES = 16 * 1024 * 1024
+LEAST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """A wrong variable or file, in one line."""
+
+
+class Limits(msgspec.Struct):
+    """What the machine allows."""
+
+    cores: float = 1.0
+    memory_mb: float = 0.0
+    sockets: int = 1_024
+
+
+class File(msgspec.Struct):
+    """The configuration file. `known` is read by discovery, entry by entry."""
+
+    settings: Options
+    seed: str | int = 0
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: msgspec.Raw = msgspec.Raw(b"")
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a gateway starts with."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    limits: Limits
+    known: bytes
+    settings: Settings
+    dial_s: float
+    idle_s: float
+    step_us: int
+
+
+def address(text: str, place: str) -> tuple[str, int]:
+    """An address of numbers, as there is no DNS. Raises `ConfigError`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ConfigError(f"{place}: expected ADDRESS:PORT, got {text[:80]!r}") from None
+    if not (port.isascii() and port.isdigit() and 0 <= int(port) < 65_536):
+        raise ConfigError(f"{place}: expected a port of 0 to 65535, got {port[:80]!r}")
+    return host.strip("[]"), int(port)
+
+
+def read(environment: Mapping[str, str] = os.environ) -> Config:
+    """The configuration. What the file says goes before a variable, which may be older. Raises `ConfigError`."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: expected the path of the configuration file")
+    try:
+        with Path(path).open("rb") as source:
+            text = source.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from None
+    if len(text) > MOST_BYTES:
+        raise ConfigError(f"{path}: expected at most {MOST_BYTES} bytes")
+    try:
+        file = msgspec.json.decode(text, type=File)
+        seed = int(file.seed, 16) if isinstance(file.seed, str) else file.seed
+        settings = to_settings(file.settings, seed & (1 << 64) - 1)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (WireError, ValueError) as error:
+        raise ConfigError(f"{path}: settings: {error}") from None
+    if file.limits.sockets < LEAST_SOCKETS:
+        raise ConfigError(f"{path}: limits.sockets: expected at least {LEAST_SOCKETS}, got {file.limits.sockets}")
+    try:
+        settings.validate()
+    except ValueError as error:
+        raise ConfigError(f"{path}: settings: {error}") from None
+    return Config(
+        name=file.name or environment.get("GW_NAME", ""),
+        listen=address(file.listen or environment.get("GW_LISTEN", ""), f"{path}: listen"),
+        discovery=address(file.discovery or environment.get("GW_DISCOVERY", ""), f"{path}: discovery"),
+        limits=file.limits,
+        known=bytes(file.known),
+        settings=settings,
+        dial_s=file.settings.limits.dial_timeout_us / 1e6,
+        idle_s=file.settings.limits.keepalive_us / 1e6,
+        step_us=file.settings.step_us,
+    )
--- /dev/null
+++ b/oatlink/platform/gateway.py
@@ -0,0 +1,406 @@
+"""The platform's gateway: Router, clock, timers, signals and descriptors around clients, servers and discovery.
+
+It carries out and decides nothing. Everything that happens is one event of the Router, told when it is seen; what the
+Router answers is carried out before the next event.
+"""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import socket
+import time
+from collections import deque
+from dataclasses import dataclass
+
+from oatlink import interface as api
+from oatlink.gateway.clock import Marks, now_us
+from oatlink.interface import Outcome, Report, RosterKind
+from oatlink.platform import discovery as disco
+from oatlink.platform import requests as req
+from oatlink.platform.clients import Client, Clients, error, refusal
+from oatlink.platform.config import Config, ConfigError, read
+from oatlink.platform.discovery import Discovery, News
+from oatlink.platform.reply import Answer, load_report
+from oatlink.platform.servers import CHECK, Bounds, Pool, Servers
+from oatlink.platform.statement import StatementError, parse
+from oatlink.rules import Router
+
+LOG = logging.getLogger("oatlink.platform")
+LINES_PER_S = 50
+SWEEP_S = 0.1
+RESERVE = 24  # descriptors for the log, the loop, the listener, signals and discovery's calls
+SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
+GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
+RELOAD_S = (0.1, 0.3, 1.0, 3.0)  # a file that cannot be read is looked at again
+
+
+class Lines(logging.Filter):
+    """Threat: a fault that says the same thousands of times a second. What is left out is counted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second = self._written = self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether this second's share holds one more line."""
+        second = int(record.created)
+        if second != self._second:
+            if self._left_out:
+                record.msg = f"{record.getMessage()} ({self._left_out} lines left out before)"
+                record.args = ()
+            self._second, self._written, self._left_out = second, 0, 0
+        self._written += 1
+        self._left_out += self._written > LINES_PER_S
+        return self._written <= LINES_PER_S
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """An attempt on its way."""
+
+    gateway: "Gateway"
+    attempt: req.Attempt
+    pool: Pool | None
+
+    def bytes_now(self) -> bytes:
+        """The statement as a query."""
+        text = self.attempt.payload(now_us())
+        return b"Q%s%s\0" % ((len(text) + 5).to_bytes(4, "big"), text)
+
+    def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
+        """See `Job`."""
+        self.gateway.attempt_ended(self, outcome, at_us, answer)
+
+
+@dataclass(slots=True, eq=False)
+class Checking:
+    """A check on its way."""
+
+    gateway: "Gateway"
+    member: int
+    pool: Pool | None
+    since_us: int
+    done: bool = False
+
+    def bytes_now(self) -> bytes:
+        """The platform's question for a load report."""
+        return CHECK
+
+    def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
+        """See `Job`."""
+        self.gateway.check_ended(self, outcome, at_us, answer)
+
+
+class Gateway:
+    """One gateway, from its configuration to its end."""
+
+    def __init__(self, config: Config, sock: socket.socket) -> None:
+        self._config = config
+        self._offset_us = time.time_ns() // 1000 - now_us()
+        self._tasks: set[asyncio.Future[None]] = set()
+        self._marks = Marks()
+        self._classes = {rule.name: rule for rule in config.settings.classes}
+        self._router = Router(config.settings)
+        self._requests = req.Requests(self._router)
+        self._todo: deque[req.Do] = deque()
+        self._doing = False
+        self._numbers = req.Numbers()
+        self._groups: set[int] = set()
+        self._entries: dict[int, api.RosterEntry] = {}
+        self._asking: dict[Client, req.Open] = {}
+        self._sending: dict[int, Sent] = {}
+        self._checks: dict[int, Checking] = {}
+        self._due_at_us: int | None = None
+        self._due: asyncio.TimerHandle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        spare = config.limits.sockets - RESERVE
+        most_servers = round(spare * SERVERS_PART)
+        self._servers = Servers(Bounds(config.dial_s, config.idle_s, most_servers), self._marks, self.note, self._keep)
+        self._clients = Clients(sock, spare - most_servers, self, self._marks, self._keep, self.note)
+        # A watch waits so long that its silent break is noticed well before its news counts as told.
+        self._discovery = Discovery(config.discovery, config.settings.ask_within_us / 4e6, self._told, self.note)
+        self._ended = asyncio.Event()
+        self._reloading: asyncio.Task[None] | None = None
+        self._step_s = config.step_us / 1e6
+
+    # ---- Life ----
+
+    async def run(self) -> None:
+        """Serve until an orderly end."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        for one in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(one, self._stop)
+        self._know()
+        self._do(self._requests.handle(api.Start(), now_us()))
+        self._clients.listen()
+        LOG.info("ready: %s on %s:%s", self._config.name, *self._config.listen)
+        sweeping = asyncio.ensure_future(self._sweep())
+        await self._ended.wait()
+        sweeping.cancel()
+        self._discovery.close()
+        self._servers.close()
+        LOG.info("ended")
+
+    def _keep(self, task: "asyncio.Future[None]") -> None:
+        """Threat: a task that nobody holds may be collected, and its fault goes unseen."""
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: "asyncio.Future[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            LOG.error("fault: %r", fault, exc_info=fault)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            try:
+                self._servers.sweep()
+                self._clients.sweep()
+                limit_us = now_us() - round(self._config.dial_s * 1e6)
+                for check in [one for one in self._checks.values() if one.since_us <= limit_us]:
+                    if check.pool is not None:
+                        check.pool.abandon(check)
+                    self.check_ended(check, Outcome.LATE, now_us(), None)
+            except Exception:
+                LOG.exception("fault")
+
+    def note(self, text: str) -> None:
+        """A line for the log."""
+        LOG.warning("%s", text)
+
+    def _stop(self) -> None:
+        """SIGTERM: go on for a while, then no more; end when nothing is owed."""
+        LOG.info("stopping")
+        loop = asyncio.get_running_loop()
+        for one in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(one, lambda: None)
+        self._keep(asyncio.ensure_future(self._wind_down()))
+
+    async def _wind_down(self) -> None:
+        await asyncio.sleep(GRACE_S)
+        # Requests' own deadlines bound this: each is answered by then.
+        while self._clients.all or len(self._requests):
+            self._clients.stop()
+            await asyncio.sleep(0.02)
+        self._ended.set()
+
+    def _reload(self) -> None:
+        """SIGHUP: read the file again."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        self._reloading = asyncio.ensure_future(self._read_again())
+        self._keep(self._reloading)
+
+    async def _read_again(self) -> None:
+        """Threat: a file half written. The old settings stand, and it is looked at again shortly."""
+        for wait_s in (*RELOAD_S, None):
+            try:
+                config = read()
+            except ConfigError as problem:
+                LOG.warning("reload: %s", problem)
+                if wait_s is None:
+                    return
+                await asyncio.sleep(wait_s)
+                continue
+            LOG.info("reload: discovery at %s:%s", *config.discovery)
+            self._router.configure(config.settings)
+            self._classes = {rule.name: rule for rule in config.settings.classes}
+            if config.discovery != self._discovery.address:
+                self._discovery.move(config.discovery)
+            return
+
+    # ---- Clock ----
+
+    def _on_clock(self, unix_us: float) -> int:
+        """A Unix time on the Router's clock, which is this process's monotonic one."""
+        return max(1, round(unix_us) - self._offset_us)
+
+    def _report(self, report: Report | None) -> Report | None:
+        if report is None or report.position_us is None:
+            return report
+        return Report(self._on_clock(report.position_us), report.role)
+
+    # ---- Discovery ----
+
+    def _know(self) -> None:
+        """The list as this gateway had it last."""
+        if self._config.known:
+            with contextlib.suppress(disco.ListError):
+                news = disco.read(self._config.known, True, self.note)
+                self._discovery.version = news.version
+                self._told(news)
+
+    def _told(self, news: News | None) -> None:
+        if news is None:
+            self._do(self._requests.handle(api.Roster(RosterKind.FAILED), now_us()))
+            return
+        entries = []
+        for one in news.servers:
+            number = self._numbers.of(one.id)
+            if one.listing is not api.Listing.GONE:
+                self._servers.listed(number, one.address)
+                self._groups.add(one.group)
+            started_us = self._on_clock(one.started_ms * 1000) if one.started_ms else 0
+            entry = api.RosterEntry(number, one.group, one.zone, one.kind, one.listing, one.primary, started_us)
+            self._entries[number] = entry
+            entries.append(entry)
+        entries += [known for name in news.unread if (known := self._entries.get(self._numbers.of(name))) is not None]
+        self._do(self._requests.handle(api.Roster(news.kind, tuple(entries)), now_us()))
+        self._let_go({entry.member for entry in entries}, news.kind is not RosterKind.CHANGES)
+
+    def _let_go(self, named: set[int], whole: bool) -> None:
+        """Forget members that have left; where a dropped one stays open, only one that was said to terminate."""
+        if self._config.settings.dropped_stay_open:
+            return
+
+        def stays(number: int) -> bool:
+            entry = self._entries.get(number)
+            return entry is not None and entry.listing is not api.Listing.GONE and (not whole or number in named)
+
+        for number in self._numbers.keep(stays):
+            self._entries.pop(number, None)
+            self._servers.gone(number)
+
+    # ---- Clients ----
+
+    def ask(self, client: Client, text: bytes, came_us: int) -> bytes | None:
+        """See `Asker`."""
+        try:
+            statement = parse(text, self._classes, self._groups)
+        except StatementError as problem:
+            return error(problem.sqlstate, str(problem))
+        if self._requests.is_open(statement.id):
+            return error("42710", "id: a request by this id is open")
+        if len(self._requests) >= self._config.settings.max_open:
+            return refusal(0)
+        at_us = now_us()
+        left_us = statement.wait_ms * 1000 - max(0, at_us - came_us)
+        since_us = None
+        if statement.after_ms:
+            since_us = max(0, at_us - self._on_clock(statement.after_ms * 1000))
+        client.waits = True
+        one, done = self._requests.arrived(statement, client, left_us, at_us, since_us)
+        if not one.over:
+            self._asking[client] = one
+        self._do(done)
+        return None
+
+    def left(self, client: Client) -> None:
+        """See `Asker`."""
+        one = self._asking.pop(client, None)
+        if one is not None:
+            self._do(self._requests.departed(one, now_us()))
+
+    # ---- Servers ----
+
+    def attempt_ended(self, sent: Sent, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
+        """An attempt's end, with the position and role that came with it."""
+        self._sending.pop(id(sent.attempt), None)
+        report: Report | None = None
+        if answer is not None:
+            position_ms = answer.position_ms()
+            if position_ms is not None or answer.role() is not api.Role.UNKNOWN:
+                report = Report(None if position_ms is None else self._on_clock(position_ms * 1000), answer.role())
+            if answer.sqlstate == "08P01":
+                LOG.error("defect: a server did not take a statement")
+        payload = answer.payload if answer is not None else b""
+        self._do(self._requests.ended(sent.attempt, outcome, at_us, now_us(), payload, report))
+
+    def check_ended(self, check: Checking, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
+        """A check's end."""
+        if check.done:
+            return
+        check.done = True
+        if self._checks.get(check.member) is check:
+            del self._checks[check.member]
+        report = self._report(load_report(answer.value)) if answer is not None and answer.value else None
+        event = api.Checked(check.member, outcome, max(0, at_us - check.since_us), report)
+        self._do(self._requests.handle(event, now_us()))
+
+    # ---- Actions ----
+
+    def _do(self, done: list[req.Do]) -> None:
+        """Carry out, in order. What they set off at once comes behind, in no deeper a call."""
+        self._todo += done
+        if self._doing:
+            return
+        self._doing = True
+        try:
+            while self._todo:
+                self._carry_out(self._todo.popleft())
+        finally:
+            self._doing = False
+        self._set_deadline()
+
+    def _carry_out(self, one: req.Do) -> None:
+        """One effect."""
+        match one:
+            case req.Launch():
+                pool = self._servers.pool(one.attempt.member)
+                sent = Sent(self, one.attempt, pool)
+                if pool is None:
+                    sent.ended(Outcome.NO_CONNECTION, now_us(), None)
+                elif not one.attempt.ended:
+                    self._sending[id(one.attempt)] = sent
+                    pool.launch(sent)
+            case req.Tell():
+                assert isinstance(one.owner, Client)
+                self._asking.pop(one.owner, None)
+                one.owner.answered(one.final)
+            case req.Abandon():
+                on_way = self._sending.pop(id(one.attempt), None)
+                if on_way is not None and on_way.pool is not None:
+                    on_way.pool.abandon(on_way)
+            case api.Check():
+                self._check(one.member)
+            case api.DropIdle():
+                pool = self._servers.pool(one.member)
+                if pool is not None:
+                    pool.drop_idle()
+            case api.FollowRoster():
+                self._discovery.follow()
+            case api.FetchRoster():
+                self._discovery.fetch()
+            case api.SetTimer():
+                self._set_timer(one)
+            case api.Log():
+                LOG.info("%s", one.text)
+            case req.Defect():
+                LOG.error("defect: %s", one.text)
+
+    def _check(self, member: int) -> None:
+        pool = self._servers.pool(member)
+        check = Checking(self, member, pool, now_us())
+        self._checks[member] = check
+        if pool is None:
+            check.ended(Outcome.NO_CONNECTION, now_us(), None)
+        else:
+            pool.launch(check)
+
+    def _set_timer(self, timer: api.SetTimer) -> None:
+        """The Router's one timer: it asks for another only where that is earlier, and again once it has fired."""
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_s = max(0.0, (timer.at_us - now_us()) / 1e6)
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._fired, timer)
+
+    def _fired(self, timer: api.SetTimer) -> None:
+        self._do(self._requests.handle(api.TimerFired(timer.name), max(now_us(), timer.at_us)))
+
+    def _set_deadline(self) -> None:
+        """One timer for the next request whose time is up."""
+        at_us = self._requests.next_end_us()
+        if at_us == self._due_at_us:
+            return
+        if self._due is not None:
+            self._due.cancel()
+        self._due_at_us, self._due = at_us, None
+        if at_us is not None:
+            self._due = asyncio.get_running_loop().call_later(max(0.0, (at_us - now_us()) / 1e6), self._expire)
+
+    def _expire(self) -> None:
+        self._due_at_us = self._due = None
+        self._do(self._requests.expire(now_us()))
--- a/oatlink/protocols/pgwire.py
+++ b/oatlink/protocols/pgwire.py
@@ -361,6 +361,33 @@
     return values
 
 
+def columns(message: Message) -> int:
+    """How many columns a RowDescription describes, each of them whole."""
+    inside = _Inside("RowDescription", message.body)
+    count = inside.count()
+    for _ in range(count):
+        inside.text()
+        inside.raw(18)  # table, column, type, its size, its modifier, format
+    inside.end()
+    return count
+
+
+def complete(message: Message) -> bytes:
+    """A CommandComplete's tag."""
+    inside = _Inside("CommandComplete", message.body)
+    tag = inside.text()
+    inside.end()
+    return tag
+
+
+def status(message: Message) -> tuple[str, str]:
+    """A ParameterStatus: a name and its value."""
+    inside = _Inside("ParameterStatus", message.body)
+    name, value = inside.text().decode("utf-8", "replace"), inside.text().decode("utf-8", "replace")
+    inside.end()
+    return name, value
+
+
 def ready(message: Message) -> bytes:
     """A ReadyForQuery's state: `I` idle, `T` in a transaction block, `E` in a failed one."""
     if message.body not in (b"I", b"T", b"E"):
@@ -440,9 +467,11 @@
     return Message(b"R", _INT32.pack(code) + data)
 
 
-def make_error(sqlstate: str, text: str, severity: str = "ERROR", kind: bytes = b"E") -> Message:
-    """An ErrorResponse, or a NoticeResponse (`N`); S and V are the severity, C the SQLSTATE, M the text."""
-    parts = (("S", severity), ("V", severity), ("C", sqlstate), ("M", text))
+def make_error(sqlstate: str, text: str, severity: str = "ERROR", kind: bytes = b"E", detail: str = "") -> Message:
+    """An ErrorResponse, or a NoticeResponse (`N`); S and V are the severity, C the SQLSTATE, M text, D detail."""
+    parts = [("S", severity), ("V", severity), ("C", sqlstate), ("M", text)]
+    if detail:
+        parts.append(("D", detail))
     return Message(kind, b"".join(name.encode() + _text(value.encode()) for name, value in parts) + b"\0")
 
 
