Replicas' positions are asked for ahead, so that one does not take all reads

Clients without a connection (2901) were a consequence: 85 of 85 were open and held. Cause: rules.py, _choose: a check is asked for only where no replica is fit; the first one found fresh then stays the only one until it is full, and a full one does not let another be asked. Change: while the chosen replica is busy the next, unasked for half the bound, is checked; a read that finds the fresh ones full asks. Also: idle client connections are closed from a quarter of the client descriptors on, and a state line each 10 s.

--- a/oatlink/platform/clients.py
+++ b/oatlink/platform/clients.py
@@ -22,6 +22,7 @@
 SILENT_US = 2_500_000  # a connection that has asked nothing so long after it came is closed
 HALF_US = 2_000_000  # so long may a message be under way
 IDLE_US = 2_000_000  # a connection idle for less is left alone
+PRESSURE = 0.25  # of all client connections: from there on idle ones are closed
 MOST_MISTAKES = 4  # statements that cannot be read, of one connection; then it is closed
 PAUSE_S = 0.05  # after a mistake, times their count: the same again at once takes no turn of others
 LINGER_S = 0.3  # for a peer to take its last error
@@ -274,6 +275,7 @@
                 return
             if len(self.all) >= self._most and not self._make_room(now_us()):
                 sock.close()
+                self._note(f"client turned away: {len(self.all)} connections")
                 continue
             stream = Stream(
                 sock, self._marks, max_buffer_size=2 * CHUNK, max_write_buffer_size=MOST_WRITTEN, read_chunk_size=CHUNK
@@ -300,9 +302,30 @@
                 return True
         return False
 
+    def _relieve(self, at_us: int) -> None:
+        """Threat: clients that ask once and keep their connection for good hold what those who ask now need.
+
+        Past a share of the connections, the ones that idle longest are closed, if long enough.
+        """
+        spare = len(self.all) - round(PRESSURE * self._most)
+        if spare > 0:
+            idle = [
+                (since, client)
+                for client in self.all
+                if (since := client.idle_since_us()) is not None and at_us - since >= IDLE_US
+            ]
+            for _, client in sorted(idle, key=lambda one: one[0])[:spare]:
+                client.close()
+
+    @property
+    def idle(self) -> int:
+        """Connections with nothing open."""
+        return sum(one.idle_since_us() is not None for one in self.all)
+
     def sweep(self) -> None:
         """Close what has had its time; at an orderly end also what idles."""
         at_us = now_us()
+        self._relieve(at_us)
         for client in list(self.all):
             if client.overdue(at_us):
                 client.end(pg.make_error("57P05", "expected a whole query by now", "FATAL").encode())
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -29,6 +29,7 @@
 LOG = logging.getLogger("oatlink.platform")
 LINES_PER_S = 50
 SWEEP_S = 0.1
+STATE_S = 10  # between lines that say what this gateway holds and believes
 RESERVE = 24  # descriptors for the log, the loop, the listener, signals and discovery's calls
 SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
 GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
@@ -154,9 +155,13 @@
             LOG.error("fault: %r", fault, exc_info=fault)
 
     async def _sweep(self) -> None:
+        turn = 0
         while True:
             await asyncio.sleep(SWEEP_S)
+            turn += 1
             try:
+                if turn % round(STATE_S / SWEEP_S) == 0:
+                    self._log_state()
                 self._servers.sweep()
                 self._clients.sweep()
                 limit_us = now_us() - round(self._config.dial_s * 1e6)
@@ -167,6 +172,24 @@
             except Exception:
                 LOG.exception("fault")
 
+    def _log_state(self) -> None:
+        """What is held and believed, for people: a member as role, attempts out and room, `?` where in doubt."""
+        members = []
+        for number in self._entries:
+            belief = self._router.belief(number)
+            if belief is not None:
+                role = "P" if belief.primary else belief.role.value[0]
+                doubt = "?" if belief.in_doubt else ""
+                members.append(f"{self._numbers.name(number)}:{role}{doubt} {belief.out}/{belief.room:.1f}")
+        LOG.info(
+            "state: requests %d, clients %d (%d idle), to servers %d; %s",
+            len(self._requests),
+            len(self._clients.all),
+            self._clients.idle,
+            self._servers.open,
+            ", ".join(members),
+        )
+
     def note(self, text: str) -> None:
         """A line for the log."""
         LOG.warning("%s", text)
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -376,18 +376,24 @@
         replicas = [one for one in group.members.values() if one.role is Role.REPLICA and not one.drained]
         if any(one.check_sent_us is not None and not self._in_doubt(one) for one in replicas):
             return True
-        unasked = [one for one in replicas if one.checked_us < min(
-            request.arrived_us, self._now - self._bound_us // 4)]
-        member = self._turn_over(unasked) if request.asked < MOST_ASKED else None
+        if request.asked >= MOST_ASKED:
+            return False
+        member = self._ask_one(replicas, min(request.arrived_us, self._now - self._bound_us // 4))
         if member is None:
             return False
         request.asked += 1
-        self._check(member)
         holds = self._holds[group.id]
         if request.asked == MOST_ASKED and request.id in holds:
             holds.put(request, self._kind(request), self._held_need(request))
         return member.check_sent_us is not None
 
+    def _ask_one(self, replicas: list[Member], before_us: int) -> Member | None:
+        """Check the next in turn of those with room that were last asked before this time."""
+        member = self._turn_over([one for one in replicas if one.checked_us < before_us])
+        if member is not None:
+            self._check(member)
+        return member
+
     def _check_all(self, group: Group) -> None:
         """Check every member of a group."""
         group.checked_us = self._now
@@ -414,10 +420,13 @@
         fit = [one for one in replicas if one.position_us >= need]
         untried = [one for one in fit if one.entry.member not in request.tried]
         best = self._turn_over(untried)
+        if best is not None and best.out and request.rule.freshness is Freshness.BOUNDED:
+            # Threat: the one replica whose position is known takes all reads, while others stand free.
+            self._ask_one(replicas, self._now - self._bound_us // 2)
         if best is None and not fit and self._settings.members_check_reads:
             others = [one for one in replicas if one.entry.member not in request.tried]
             best = self._most_advanced(others, need)
-        elif best is None and not fit and self._settings.may_probe and self._ask_replica(request, group):
+        elif best is None and self._settings.may_probe and self._ask_replica(request, group):
             return None
         # Threat: reads crowd out what only the primary takes. Those with a choice get half of its room,
         # current reads, which have none, three quarters, writes all.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -166,6 +166,31 @@
     assert one(driver.checked(second.member, Role.REPLICA, age=900_000)).member == 1
 
 
+def test_a_busy_replica_is_not_left_the_only_one_known_to_be_fresh(driver: Driver) -> None:
+    """Found on sockets: one replica full to its room, the others free, as nobody had asked them for long."""
+    driver.skip(600_000)
+    (asked,) = of(api.Check, driver.arrive("view"))
+    (first,) = sends(driver.checked(asked.member, Role.REPLICA))
+    ahead = of(api.Check, driver.arrive("view"))
+    assert [check.member for check in ahead] == [5 - first.member]
+    driver.checked(ahead[0].member, Role.REPLICA)
+    assert one(driver.arrive("view")).member == ahead[0].member
+    assert of(api.Check, driver.arrive("view")) == [], "asked again too early"
+
+
+def test_a_free_replica_is_asked_where_the_fresh_one_has_no_room(driver: Driver) -> None:
+    """Else the read waits for the one replica, or burdens the primary."""
+    driver.skip(600_000)
+    (asked,) = of(api.Check, driver.arrive("view"))
+    (first,) = sends(driver.checked(asked.member, Role.REPLICA))
+    (behind,) = of(api.Check, driver.arrive("view"))
+    driver.checked(behind.member, Role.REPLICA, age=900_000)
+    while sent := sends(driver.arrive("view")):
+        assert sent[0].member in (first.member, 1), "the primary takes some, for nobody may be asked yet"
+    driver.skip(200_000)
+    assert [check.member for check in of(api.Check, driver.arrive("view"))] == [behind.member]
+
+
 def test_latest_read_goes_to_the_primary(driver: Driver) -> None:
     driver.skip(1)
     assert one(driver.arrive("check")).member == 1
