--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,283 @@
+"""Small servers and a discovery of ours on loopback, and the gateway as its own process: for tests only."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import struct
+import sys
+import time
+from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from oatlink.protocols import pgwire as pg
+from tests.test_adapter import OPTIONS
+
+ROOT = Path(__file__).parents[1]
+READY = pg.make_ready().encode()
+COLUMNS = pg.make_columns((b"content",), (17,)).encode()
+DONE = pg.make_complete(b"SELECT 1").encode()
+PATIENCE_S = 20.0
+
+
+def row(value: bytes) -> bytes:
+    return COLUMNS + pg.make_row((value,)).encode() + DONE
+
+
+class Server:
+    """One database server. `mode` says how it treats a statement, `greets` a new connection."""
+
+    def __init__(self, primary: bool) -> None:
+        self.primary = primary
+        self.mode: str | list[str] = "good"  # a list: one for each statement, then good
+        self.greets = True
+        self.statements: list[bytes] = []
+        self.checks = self.connections = self.open = 0
+        self.release = asyncio.Event()
+        self.port = 0
+
+    async def __aenter__(self) -> "Server":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.release.set()
+        self._server.close()
+
+    def _mode(self) -> str:
+        if isinstance(self.mode, list):
+            return self.mode.pop(0) if self.mode else "good"
+        return self.mode
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            (size,) = struct.unpack("!i", await reader.readexactly(4))
+            await reader.readexactly(size - 4)
+            if not self.greets:
+                await self.release.wait()
+            writer.write(pg.make_authentication(0).encode() + READY)
+            while True:
+                kind = await reader.readexactly(1)
+                (size,) = struct.unpack("!i", await reader.readexactly(4))
+                text = (await reader.readexactly(size - 4))[:-1]
+                if kind != b"Q" or not await self._answer(text, writer):
+                    break
+        self.open -= 1
+        writer.close()
+
+    async def _answer(self, text: bytes, writer: asyncio.StreamWriter) -> bool:
+        said = pg.make_status("recovery", "off" if self.primary else "on").encode()
+        if text == b"SHOW health":
+            self.checks += 1
+            report = b"x0=%.3f,x1=%d" % (time.time(), self.primary)
+            writer.write(row(report) + READY)
+            return True
+        self.statements.append(text)
+        mode = self._mode()
+        good = row(b"value of " + text.split(b"'")[1]) + said + pg.make_status("lsn_ms", "17").encode() + READY
+        if mode == "hang":
+            await self.release.wait()
+        elif mode == "huge":
+            writer.write(COLUMNS + b"D" + struct.pack("!i", 2_000_000_000) + b"\0\x01" + b"x" * 100_000)
+            await self.release.wait()
+        elif mode == "break":
+            writer.write(good[:40])
+            return False
+        else:
+            answers = {
+                "good": good,
+                "behind": good + b"noise",
+                "twice": good + good,
+                "noise": b"\x01\x02\x03noise\xff" * 5,
+                "two rows": COLUMNS + pg.make_row((b"a",)).encode() * 2 + DONE + READY,
+                "no columns": good[len(COLUMNS) :],
+                "negative": COLUMNS + b"D\xff\xff\xff\x00" + DONE + READY,
+                "miss": pg.make_error("25006", "read only").encode() + said + READY,
+                "full": pg.make_error("53300", "full").encode() + READY,
+                "error": pg.make_error("XX000", "internal").encode() + READY,
+            }
+            writer.write(answers[mode])
+        return True
+
+
+class Discovery:
+    """The list, its watch, and what may go wrong with it."""
+
+    def __init__(self) -> None:
+        self.mode = "good"
+        self.entries: list[dict[str, Any]] = []
+        self.version = 1
+        self.calls: list[str] = []
+        self.changed = asyncio.Event()
+
+    async def __aenter__(self) -> "Discovery":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+        self.changed.set()
+
+    def tell(self, entries: list[dict[str, Any]]) -> None:
+        """A new list."""
+        self.entries, self.version = entries, self.version + 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            path = head.split()[1].decode()
+            self.calls.append(path)
+            query = dict(pair.split("=") for pair in path.partition("?")[2].split("&") if pair)
+            if self.mode == "hang":
+                await asyncio.sleep(PATIENCE_S)
+            if query and int(query["since"]) >= self.version:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), int(query["timeout_ms"]) / 1000)
+            body = json.dumps({"version": self.version, "full": True, "servers": self.entries}).encode()
+            status = "200 OK"
+            if self.mode == "503":
+                status, body = "503 Service Unavailable", b""
+            elif self.mode == "noise":
+                body = b"{not json"
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+            await writer.drain()
+        writer.close()
+
+
+class Client:
+    """A client that speaks bytes."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def message(self) -> pg.Message:
+        """The next message. Raises `asyncio.IncompleteReadError` at the end, `TimeoutError` where nothing comes."""
+        async with asyncio.timeout(PATIENCE_S):
+            kind = await self.reader.readexactly(1)
+            (size,) = struct.unpack("!i", await self.reader.readexactly(4))
+            return pg.Message(kind, await self.reader.readexactly(size - 4))
+
+    async def until_ready(self) -> list[pg.Message]:
+        """All messages up to ReadyForQuery, without it."""
+        found: list[pg.Message] = []
+        while (one := await self.message()).kind != b"Z":
+            found.append(one)
+        return found
+
+    async def ask(self, text: bytes) -> list[pg.Message]:
+        """Send a query and take its answer."""
+        self.writer.write(pg.make_query(text).encode())
+        return await self.until_ready()
+
+    async def closed(self) -> bool:
+        """Wait for the gateway to close; what still comes is passed over."""
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(PATIENCE_S):
+                await self.reader.read()
+        return True
+
+
+class World:
+    """A gateway's process, its servers (the first is primary), its discovery and its clients."""
+
+    def __init__(self, place: Path, servers: list[Server], discovery: Discovery) -> None:
+        self.servers, self.discovery = servers, discovery
+        self.path = place / "config.json"
+        self.lines: list[str] = []
+        self.address = ("127.0.0.1", 0)
+
+    def entries(self) -> list[dict[str, Any]]:
+        """The list of all servers."""
+        return [
+            {"id": f"s-{number}", "addr": f"127.0.0.1:{one.port}", "zone": "a", "kind": "k", "cell": 1,
+             "state": "in_service", "weight": 1.0, "started_ms": 0, "recovery": "off" if one.primary else "on"}
+            for number, one in enumerate(self.servers)
+        ]
+
+    def write(self, discovery: str, sockets: int = 256) -> None:
+        """The configuration file, replaced whole."""
+        host, port = self.address
+        known = {"version": 0, "full": True, "servers": self.entries()}
+        text = {"name": "n0", "listen": f"{host}:{port}", "discovery": discovery, "seed": "5",
+                "limits": {"sockets": sockets}, "known": known, "settings": OPTIONS}
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(json.dumps(text))
+        fresh.replace(self.path)
+
+    async def start(self) -> None:
+        """Start the gateway and wait until it serves."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "oatlink.platform", cwd=ROOT, env=os.environ | {"GW_CONFIG": str(self.path)},
+            stderr=asyncio.subprocess.PIPE)
+        self._reading = asyncio.ensure_future(self._read())
+        line = await self.logged("ready: ")
+        self.address = ("127.0.0.1", int(line.rpartition(":")[2]))
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        async for line in self.process.stderr:
+            self.lines.append(line.decode().rstrip())
+
+    async def until(self, what: Callable[[], bool]) -> None:
+        """Wait for something that comes to be true. Raises `TimeoutError`."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not what():
+                await asyncio.sleep(0.01)
+
+    async def logged(self, text: str) -> str:
+        """Wait for a line of the log."""
+        await self.until(lambda: any(text in line for line in self.lines) or self.process.returncode is not None)
+        return next(line for line in self.lines if text in line)
+
+    async def connect(self) -> Client:
+        """A client that has not started up."""
+        return Client(*await asyncio.open_connection(*self.address))
+
+    async def client(self) -> Client:
+        """A client that has."""
+        one = await self.connect()
+        one.writer.write(pg.make_startup({"user": "backend", "database": "store"}).encode())
+        await one.until_ready()
+        return one
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the gateway a signal."""
+        self.process.send_signal(number)
+
+    async def stop(self) -> None:
+        """End the gateway, whatever it does."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._reading
+
+
+@contextlib.asynccontextmanager
+async def world(place: Path, replicas: int = 2, sockets: int = 256, running: bool = True) -> AsyncIterator[World]:
+    """A gateway before one primary and so many replicas."""
+    async with contextlib.AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(Server(number == 0)) for number in range(replicas + 1)]
+        discovery = await stack.enter_async_context(Discovery())
+        one = World(place, servers, discovery)
+        discovery.entries = one.entries()
+        one.write(discovery.address, sockets)
+        if running:
+            await one.start()
+        try:
+            yield one
+        finally:
+            if running:
+                await one.stop()
+
+
+def play(scene: Coroutine[Any, Any, None]) -> None:
+    """Run one scene to its end."""
+    asyncio.run(asyncio.wait_for(scene, 4 * PATIENCE_S))
