Connections that only said an empty query go first; a flood costs no time

Checks: a probe of the connections held, each half second: all slots held by connections at rest; of 198, 94 had said an empty query and nothing else, 70 nothing at all, the others had been served once and stayed. CPU rose only while clients were turned away. Cause: clients.py counted an empty query as asking, and looked through all connections, each with a system call, for each one turned away. The line of state tells how attempts ended.

--- a/oatlink/platform/clients.py
+++ b/oatlink/platform/clients.py
@@ -21,6 +21,7 @@
 MOST_WRITTEN = 262_144  # bytes that a client has not taken
 SILENT_US = 2_500_000  # a connection that has asked nothing so long after it came is closed
 HALF_US = 2_000_000  # so long may a message be under way
+FULL_US = 20_000  # between two looks for a connection to close, where none may be
 IDLE_US = 2_000_000  # a connection idle for less is left alone
 PRESSURE = 0.25  # of all client connections: from there on idle ones are closed
 MOST_MISTAKES = 4  # statements that cannot be read, of one connection; then it is closed
@@ -78,7 +79,7 @@
         self.stream, self._asker, self._home = stream, asker, home
         self._reader = pg.frontend_reader(LIMITS)
         self._started = False
-        self.asked = False  # a query that could be read has come
+        self.asked = False  # a request has come
         self.waits = False  # a query is open
         self.born_us = self.free_us = now_us()
         self._half_us = 0  # since when a message is under way
@@ -153,10 +154,8 @@
     def _query(self, text: bytes) -> None:
         words = text.split(None, 1)
         if not words or not text.strip(b"; \t\r\n"):
-            self.asked = True
-            self.write(EMPTY)
+            self.write(EMPTY)  # which asks nothing: a flood may say so much
         elif words[0].upper() in PLAIN:
-            self.asked = True
             self.write(pg.make_complete(words[0].upper()).encode() + READY)
         else:
             # Time runs from the last byte; behind an open query it runs from that one's answer.
@@ -260,6 +259,8 @@
         self._sock, self._most, self._asker, self._marks, self._keep, self._note = sock, most, asker, marks, keep, note
         self.all: dict[Client, None] = {}
         self.stopping = False
+        self._turned_away = 0  # since the last sweep
+        self._full_until_us = 0
         self.address: tuple[str, int] = sock.getsockname()[:2]
 
     def listen(self) -> None:
@@ -278,7 +279,7 @@
                 return
             if len(self.all) >= self._most and not self._make_room(now_us()):
                 sock.close()
-                self._note(f"client turned away: {len(self.all)} connections")
+                self._turned_away += 1
                 continue
             stream = Stream(
                 sock, self._marks, max_buffer_size=2 * CHUNK, max_write_buffer_size=MOST_WRITTEN, read_chunk_size=CHUNK
@@ -291,20 +292,26 @@
     def _make_room(self, at_us: int) -> bool:
         """Threat: a flood of connections that say nothing keeps usual clients out.
 
-        The oldest that has asked nothing goes first, then the one that idles longest, if long enough.
+        The oldest that has asked nothing goes first, then the one that idles longest, if long enough. Where none may
+        go, nobody is looked for again for a while: a flood must not cost the process its time.
         """
+        if at_us < self._full_until_us:
+            return False
         for client in self.all:  # in the order they came
             if not client.asked and client.idle_since_us() is not None:
                 client.close()
                 return True
-        idle = [(since, client) for client in self.all if (since := client.idle_since_us()) is not None]
-        if idle:
-            since, client = min(idle, key=lambda one: one[0])
-            if at_us - since >= IDLE_US:
-                client.close()
-                return True
+        for client in self._idle_long(at_us):
+            client.close()
+            return True
+        self._full_until_us = at_us + FULL_US
         return False
 
+    def _idle_long(self, at_us: int) -> list[Client]:
+        """Clients that may be closed, the one that idles longest first."""
+        idle = [one for one in self.all if at_us - one.free_us >= IDLE_US and one.idle_since_us() is not None]
+        return sorted(idle, key=lambda one: one.free_us)
+
     def _relieve(self, at_us: int) -> None:
         """Threat: clients that ask once and keep their connection for good hold what those who ask now need.
 
@@ -312,12 +319,7 @@
         """
         spare = len(self.all) - round(PRESSURE * self._most)
         if spare > 0:
-            idle = [
-                (since, client)
-                for client in self.all
-                if (since := client.idle_since_us()) is not None and at_us - since >= IDLE_US
-            ]
-            for _, client in sorted(idle, key=lambda one: one[0])[:spare]:
+            for client in self._idle_long(at_us)[:spare]:
                 client.close()
 
     @property
@@ -328,6 +330,9 @@
     def sweep(self) -> None:
         """Close what has had its time; at an orderly end also what idles."""
         at_us = now_us()
+        if self._turned_away:
+            self._note(f"clients turned away: {self._turned_away}, {len(self.all)} connections")
+            self._turned_away = 0
         self._relieve(at_us)
         for client in list(self.all):
             if client.overdue(at_us):
--- a/oatlink/platform/config.py
+++ b/oatlink/platform/config.py
@@ -51,7 +51,6 @@
     settings: Settings
     dial_s: float
     idle_s: float
-    step_us: int
 
 
 def address(text: str, place: str) -> tuple[str, int]:
@@ -101,5 +100,4 @@
         settings=settings,
         dial_s=file.settings.limits.dial_timeout_us / 1e6,
         idle_s=file.settings.limits.keepalive_us / 1e6,
-        step_us=file.settings.step_us,
     )
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import time
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from oatlink import interface as api
@@ -123,7 +123,8 @@
         self._discovery = Discovery(config.discovery, config.settings.ask_within_us / 4e6, self._told, self.note)
         self._ended = asyncio.Event()
         self._reloading: asyncio.Task[None] | None = None
-        self._step_s = config.step_us / 1e6
+        self._answers: Counter[str] = Counter()  # since the last line of state
+        self._answers_us = 0
 
     # ---- Life ----
 
@@ -183,6 +184,8 @@
 
     def _log_state(self) -> None:
         """What is held and believed, for people: a member as role, attempts out and room, `?` where in doubt."""
+        ended, self._answers = self._answers, Counter()
+        took_ms, self._answers_us = self._answers_us / max(1, ended["served"]) / 1000, 0
         members = []
         for number in self._entries:
             belief = self._router.belief(number)
@@ -191,7 +194,9 @@
                 doubt = "?" if belief.in_doubt else ""
                 members.append(f"{self._numbers.name(number)}:{role}{doubt} {belief.out}/{belief.room:.1f}")
         LOG.info(
-            "state: requests %d, clients %d (%d idle), to servers %d; %s",
+            "state: attempts %s, served ones %.0f ms; requests %d, clients %d (%d idle), to servers %d; %s",
+            ", ".join(f"{ended[name]} {name}" for name in sorted(ended)) or "none",
+            took_ms,
             len(self._requests),
             len(self._clients.all),
             self._clients.idle,
@@ -339,6 +344,8 @@
             if answer.sqlstate == "08P01":
                 LOG.error("defect: a server did not take a statement")
         payload = answer.payload if answer is not None else b""
+        self._answers[outcome.value] += 1
+        self._answers_us += at_us - sent.attempt.started_us if outcome is Outcome.SERVED else 0
         self._do(self._requests.ended(sent.attempt, outcome, at_us, now_us(), payload, report))
 
     def check_ended(self, check: Checking, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -260,6 +260,8 @@
         async with world(tmp_path, sockets=64) as one:
             await settled(one)
             silent = [await one.connect() for _ in range(100)]
+            for each in silent[::2]:  # an empty query asks nothing, either
+                each.writer.write(pg.make_startup({"user": "u"}).encode() + pg.make_query(b"").encode())
             client = await one.client()
             assert value(await client.ask(view())) == b"value of 7f3a"
             for each in silent:
