Platform: dead parts gone, a query is made by its codec, one reckoning of a dial's end

Final.outcome and the report of Requests.ended were used by nobody; a Query was framed by hand beside pgwire.make_query; the end of a failed dial was reckoned anew for each that waited. Change: these. Behaviour as it was. rules.py and the adapter are untouched.

--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -23,6 +23,7 @@
 from oatlink.platform.reply import Answer, load_report
 from oatlink.platform.servers import CHECK, Bounds, Pool, Servers
 from oatlink.platform.statement import StatementError, parse
+from oatlink.protocols import pgwire as pg
 from oatlink.rules import Router
 
 LOG = logging.getLogger("oatlink.platform")
@@ -65,8 +66,7 @@
 
     def bytes_now(self) -> bytes:
         """The statement as a query."""
-        text = self.attempt.payload(now_us())
-        return b"Q%s%s\0" % ((len(text) + 5).to_bytes(4, "big"), text)
+        return pg.make_query(self.attempt.payload(now_us())).encode()
 
     def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
         """See `Job`."""
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -69,7 +69,6 @@
 class Final:
     """A final answer: `payload` when served, else refused with a time to come back, or failed."""
 
-    outcome: Outcome | None
     payload: bytes = b""
     refused: bool = False
     retry_after_us: int = 0
@@ -106,7 +105,7 @@
 
 Passed = api.Check | api.DropIdle | api.FollowRoster | api.FetchRoster | api.SetTimer | api.Log
 Do = Launch | Abandon | Tell | Defect | Passed
-FAILED = Final(None)
+FAILED = Final()
 
 
 class Requests:
@@ -164,7 +163,6 @@
         now_us: int,
         payload: bytes = b"",
         answer: Report | None = None,
-        report: Report | None = None,
     ) -> list[Do]:
         """An attempt has ended, its answer here at `at_us`."""
         if attempt.ended:
@@ -172,7 +170,7 @@
         one = attempt.open
         attempt.ended = True
         if outcome is Outcome.SERVED and not one.over:
-            self._final(one, Final(outcome, payload))
+            self._final(one, Final(payload))
         event = api.AttemptEnded(
             one.id,
             attempt.number,
@@ -181,7 +179,6 @@
             max(0, at_us - attempt.started_us),
             one.over,
             answer,
-            report,
         )
         self._release(one)
         return self.handle(event, now_us)
@@ -223,7 +220,7 @@
             case api.Send():
                 self._send(action, now_us)
             case api.Refuse():
-                self._end(action.request, Final(None, refused=True, retry_after_us=action.retry_after_us))
+                self._end(action.request, Final(refused=True, retry_after_us=action.retry_after_us))
             case api.Fail():
                 self._end(action.request, FAILED)
             case api.Cancel():
--- a/oatlink/platform/servers.py
+++ b/oatlink/platform/servers.py
@@ -264,12 +264,10 @@
             self.note(f"dial: {problem}")
             if connection is not None:
                 connection.close_quietly()
-            waiting = len(self.waiting) if everybody else 1
-            for _ in range(waiting):
+            # Before any statement was written nothing can have run, whatever the greeting's error was.
+            told = Outcome.FULL if outcome is Outcome.FULL else Outcome.NO_CONNECTION
+            for _ in range(len(self.waiting) if everybody else 1):
                 if self.waiting:
-                    told = outcome or Outcome.NO_CONNECTION
-                    if told is not Outcome.FULL:  # before any statement was written, nothing can have run
-                        told = Outcome.NO_CONNECTION
                     self.waiting.popleft().job.ended(told, now_us(), None)
         self._dial_more()
 
