The list is followed also where the settings say that it is pushed

Ruled out: a late watch (none), a send behind a drain that was known (none known). PROTOCOL knows no push on sockets: discovery answers whoever asks. Change: the platform's configuration sets it always. Test: fails without the line.

--- a/oatlink/platform/config.py
+++ b/oatlink/platform/config.py
@@ -3,7 +3,7 @@
 import ipaddress
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -80,7 +80,8 @@
     try:
         file = msgspec.json.decode(text, type=File)
         seed = int(file.seed, 16) if isinstance(file.seed, str) else file.seed
-        settings = to_settings(file.settings, seed & (1 << 64) - 1)
+        # Threat: settings whose list is pushed. On sockets nobody pushes it: unasked, each drain and start is missed.
+        settings = replace(to_settings(file.settings, seed & (1 << 64) - 1), must_ask_roster=True)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: {error}") from None
     except (WireError, ValueError) as error:
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -380,6 +380,12 @@
     assert config.read(written(tmp_path, discovery="")).discovery == ("127.0.0.1", 1)
 
 
+@pytest.mark.parametrize("discovery", ["ask", "push"])
+def test_the_list_is_followed_whatever_the_settings_call_it_as_nobody_pushes_it(tmp_path: Path, discovery: str) -> None:
+    told = config.read(written(tmp_path, settings=OPTIONS | {"Discovery": discovery}))
+    assert api.FollowRoster() in Router(told.settings).handle(api.Start(), 0)
+
+
 @pytest.mark.parametrize(
     ("changes", "names"),
     [
