A cold primary lets in what only it takes by chance, the same share at each gateway

Cause: rules.py _within_budget. Tokens come to each router at its own rate, here one in 10 to 40 s, also to those that have no request for that primary; a write waits for the token of its own router, and reads and checks spend it. Change, for more than four routers: what only the primary takes carries a draw, and a cold primary lets in the share that it can bear of them, the same share at every router, so that unequal routers add up; what has waited for a new primary is spread over as long as it can have waited. Tokens of what has a choice come at what that leaves. Records in state.py; rows of holds know the draw. Also: what is left out for an answer is half of the wait, as before, but half the aim where the wait is shorter.

--- a/oatlink/holds.py
+++ b/oatlink/holds.py
@@ -15,8 +15,8 @@
 
 from oatlink.state import LONG_AGO, NEVER, Request
 
-Kind = tuple[str, float, bool, tuple[int, ...], bool]
-"""Class, worth, whether late, members tried, whether it may not ask any more: what one member says to all of them."""
+Kind = tuple[str, float, bool, tuple[int, ...], bool, float]
+"""Class, worth, whether late, members tried, whether it may not ask any more, its draw: what one says for all."""
 
 LEAST_WINDOW = 1024  # numbers
 
--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -21,6 +21,7 @@
 MOST_ASKED = 2  # reports that one read may ask for before it goes to the primary
 FEW_PEERS = 4  # routers of which each may always have an attempt out (one a core) and beat as the design says
 COLD_PART = 0.7  # of what a cold member bears, given out among all routers: the rest is left for chance
+DRAWS = 8  # steps in which a cold primary lets in what only it takes
 COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
 
 
@@ -44,6 +45,7 @@
         self._turn: float = 0.0
         self._shown, self._shown_us = 0.0, LONG_AGO
         self._answer_us = self._target_us
+        self._arrived, self._tied = 0, 0.0  # requests, and the share of them that only a primary takes
         self._worth = (sum(rule.worth for rule in settings.classes) or 1.0) / len(settings.classes)
         self._ask_at_us = NEVER
         self._ask_wait_us = 0
@@ -239,10 +241,9 @@
     # ---- Member record ----
 
     def _hear(self, member: Member, report: api.Report | None, fresh: bool) -> None:
-        """Set role, position and time heard from an answer (fresh) or a report (as old as it says).
+        """Set role, position and time heard from an answer (fresh) or a report, as old as its position.
 
-        A primary's position is the time of its claim. A report whose position lies before the time at which
-        the held role was true is older than that role and must not overturn it.
+        A report older than the time at which the held role was true must not overturn that role.
         """
         member.heard_us = self._now
         if report is None:
@@ -254,7 +255,10 @@
         if report.role is Role.PRIMARY:
             self._claim(member, true_us)
         elif report.role is Role.REPLICA and (member.role is not Role.PRIMARY or true_us >= member.role_us):
-            self._set_replica(member, true_us)
+            group = self._groups[member.entry.group]
+            if group.primary == member.entry.member:
+                group.primary, group.lost_us = None, self._now
+            member.role, member.role_us = Role.REPLICA, max(member.role_us, true_us)
 
     def _claim(self, member: Member, true_us: int) -> None:
         """One primary a group: the later claim stands, an older one is turned unknown and checked at once."""
@@ -269,24 +273,14 @@
             self._check(held)
         member.role, member.role_us = Role.PRIMARY, true_us
         if group.primary is None and not member.drained:
-            group.primary = member.entry.member
+            group.primary, group.known_us = member.entry.member, self._now
             self._log(f"group {member.entry.group}: primary is {member.entry.member}")
 
-    def _set_replica(self, member: Member, true_us: int) -> None:
-        """A member has answered as a replica."""
-        group = self._groups[member.entry.group]
-        if group.primary == member.entry.member:
-            group.primary = None
-        member.role, member.role_us = Role.REPLICA, max(member.role_us, true_us)
-
     def _lose(self, member: Member) -> None:
-        """Turn a member unknown; reads that still wait on it go elsewhere where a repeat is allowed.
-
-        Threat: a silent or hung member. Its reads would wait for the deadline.
-        """
+        """Turn a member unknown. Threat: a silent one. Its reads go elsewhere where a repeat is allowed."""
         group = self._groups[member.entry.group]
         if group.primary == member.entry.member:
-            group.primary = None
+            group.primary, group.lost_us = None, self._now
             self._log(f"group {member.entry.group}: primary {member.entry.member} lost")
         member.role, member.role_us = Role.UNKNOWN, max(member.role_us, self._now)
         for request_id, _ in list(member.out):
@@ -343,10 +337,9 @@
         self._pump(self._groups[member.entry.group])
 
     def _heartbeats(self, group: Group) -> None:
-        """Check what has grown old, when a request comes for the group.
+        """Check what has grown old, when a request comes for the group: an answer is as good as a check.
 
-        Threat: hundreds of routers that check all members all the time are more work than the requests. An
-        answer is as good as a check, and a group that nobody asks for needs none.
+        Threat: hundreds of routers that check all members all the time are more work than the requests.
         """
         for member in group.members.values():
             if member.role is Role.UNKNOWN:
@@ -367,10 +360,7 @@
         return max(since + 2 * self._usual_us(group), member.checked_us + self._target_us)
 
     def _ask_replica(self, request: Request, group: Group) -> bool:
-        """Whether a report now asked for may let a replica take a read.
-
-        Threat: hundreds of routers that know no fresh position would leave all reads to the primary.
-        """
+        """Whether a report may let a replica take a read. Threat: all reads are left to the primary."""
         if request.rule.freshness not in (Freshness.BOUNDED, Freshness.SESSION):
             return False
         replicas = [one for one in group.members.values() if one.role is Role.REPLICA and not one.drained]
@@ -414,7 +404,7 @@
         group = self._groups[request.group]
         primary = group.members.get(group.primary) if group.primary is not None else None
         if request.rule.freshness is Freshness.WRITE:
-            return primary if primary is not None and self._has_room(primary, 1.0) else None
+            return primary if primary is not None and self._has_room(primary, 1.0, request) else None
         need = self._need(request)
         replicas = [one for one in group.members.values()
                     if one.role is Role.REPLICA and not self._in_doubt(one)]
@@ -432,14 +422,14 @@
         # Threat: reads crowd out what only the primary takes. Those with a choice get half of its room,
         # current reads, which have none, three quarters, writes all.
         share = 0.75 if request.rule.freshness is Freshness.LATEST else 0.5
-        if best is None and primary is not None and self._has_room(primary, share):
+        if best is None and primary is not None and self._has_room(primary, share, request):
             best = primary
         return best or self._turn_over(fit)
 
     def _most_advanced(self, replicas: list[Member], need: int) -> Member | None:
-        """Threat: a router with few reads knows no fresh position. A miss costs little; the read moves on.
+        """Replicas near enough when last heard take turns; with none, the most advanced gets its one try.
 
-        Replicas near enough when last heard take turns; with none, the most advanced gets its one try.
+        Threat: a router with few reads knows no fresh position. A miss costs little; the read moves on.
         """
         likely = [one for one in replicas if self._now - one.lag_us >= need]
         return self._turn_over(likely) or min(replicas, key=lambda one: one.lag_us, default=None)
@@ -462,9 +452,8 @@
 
     def _wait(self, member: Member) -> float:
         """What a new attempt may take there, by its answers and what is out; other zones cost more."""
-        base = self._usual_us(self._groups[member.entry.group])
-        if member.duration_us and self._now - member.answered_us < 2 * HEARTBEAT_US:
-            base = member.duration_us
+        shown = member.duration_us and self._now - member.answered_us < 2 * HEARTBEAT_US
+        base = member.duration_us if shown else self._usual_us(self._groups[member.entry.group])
         if member.out:
             base = max(base, float(self._now - next(iter(member.out.values()))))
         wait = base * (1 + len(member.out)) * (1 + min(member.refused, 2))
@@ -479,7 +468,7 @@
         number = len(request.attempts)
         request.attempts.append(Attempt(member.entry.member, self._now))
         member.out[(request.id, number)] = self._now
-        member.tokens -= 1.0
+        member.tokens -= 0.0 if request.draw else 1.0
         self._turn += 1
         member.turn = self._turn
         self._holds[request.group].pop(request.id)
@@ -491,7 +480,7 @@
         return (not member.drained and member.entry.group == request.group
                 and self._now < request.expires_us - self._margin_us
                 and len(request.attempts) < self._settings.max_attempts
-                and self._may_repeat(request) and self._within_budget(member, 1.0))
+                and self._may_repeat(request) and self._within_budget(member, 1.0, request))
 
     def _may_repeat(self, request: Request) -> bool:
         """Whether the class allows one more attempt after the earlier ones."""
@@ -588,13 +577,14 @@
         rule = self._classes[event.class_name]
         group = self._group(event.group)
         group.arrived += 1
-        need = None
-        if rule.freshness is Freshness.LATEST:
-            need = self._now
-        elif rule.freshness is Freshness.SESSION:
-            need = self._session_need(event)
+        need = self._session_need(event) if rule.freshness is Freshness.SESSION else None
+        need = self._now if rule.freshness is Freshness.LATEST else need
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
                           event.session, need, rule.worth * self._share_worth(event.tenant), group.arrived)
+        if self._settings.peers > FEW_PEERS and rule.freshness in (Freshness.WRITE, Freshness.LATEST):
+            request.draw = (1 + self._random.randrange(DRAWS)) / DRAWS
+        self._arrived += 1
+        self._tied += (bool(request.draw) - self._tied) * max(1 / self._arrived, 0.01)
         self._requests[request.id] = request
         if group.checked_us < 0:
             self._check_all(group)  # the first request of a group asks its members who they are
@@ -658,7 +648,7 @@
         if self._more and holds.held:
             self._unsettled[group.id] = None
             return
-        if holds.held and any(self._has_room(one, 1.0) for one in group.members.values()):
+        if holds.held and any(self._is_free(one, 1.0) for one in group.members.values()):
             self._tidy_rows(group, holds)
             heads = [(kind, row.oldest()) for kind, row in holds.rows.items()]
             waiting = [(self._urgency(head), kind) for kind, head in heads if head is not None]
@@ -687,8 +677,7 @@
         """The oldest request of a row that finds a member now, if any does.
 
         Threat: thousands of holds, each tried at every answer. One of a row stands for the others: all need
-        as much, or the later ones more; where needs differ (sessions), what a member of some position can
-        serve is all that needs no more than that.
+        as much, or the later ones more; where needs differ (sessions), a position serves all that need less.
         """
         oldest = row.oldest()
         if oldest is None:
@@ -722,7 +711,8 @@
 
     def _kind(self, request: Request) -> Kind:
         late = self._now > request.arrived_us + request.rule.aim_us
-        return request.rule.name, request.worth, late, tuple(request.tried), request.asked >= MOST_ASKED
+        return (request.rule.name, request.worth, late, tuple(request.tried), request.asked >= MOST_ASKED,
+                request.draw)
 
     def _held_need(self, request: Request) -> int:
         return self._need(request) if request.rule.freshness is Freshness.SESSION else 0
@@ -738,8 +728,7 @@
     def _urgency(self, request: Request) -> tuple[float, int]:
         """What serving a held request now earns: more first, then the older."""
         late = self._now > request.arrived_us + request.rule.aim_us
-        worth = request.worth * (request.rule.late_worth if late else 1.0)
-        return (-worth, request.arrived_us)
+        return -request.worth * (request.rule.late_worth if late else 1.0), request.arrived_us
 
     def _give_up_at(self, request: Request) -> int:
         """When holding on stops making sense: an answer would come past the aim or the deadline."""
@@ -759,7 +748,7 @@
             last = min(last, request.arrived_us + half - self._margin_us - self._tick_us)
         if request.may_have_run_us is not None and request.rule.effect is Effect.KEYED:
             last = min(last, request.may_have_run_us + request.rule.repeat_window_us - self._margin_us)
-        return end, request.rule.aim_us // 2, last
+        return end, max(request.rule.aim_us, end - request.arrived_us) // 2, last
 
     def _give_up(self, request: Request) -> None:
         """The final answer, at once: a refusal where trying again is harmless, else a failure."""
@@ -792,13 +781,14 @@
             return 1.0
         return self._settings.cold_share + (1.0 - self._settings.cold_share) * max(0, age) / whole
 
-    def _within_budget(self, member: Member, weight: float) -> bool:
-        """Threat: a cold member pushed over by all routers. What goes there is paid by tokens.
+    def _within_budget(self, member: Member, weight: float, request: Request | None = None) -> bool:
+        """Threat: a cold member pushed over by all routers. What goes there costs tokens, the first drawn.
 
-        They come at the rate that this router alone has had from warm members, kept for a release that leaves
-        none, so that all routers add up to what one can do. The first is drawn: few send at once.
+        They come at the rate that this router alone has had from warm members: all add up to what one can do.
+        Threat: tokens lie with routers that have no request, and writes at a cold primary wait for one. What
+        only it takes comes first, by chance: each router lets in the same share of its own.
         """
-        warmth = self._warmth(member)
+        warmth, group = self._warmth(member), self._groups[member.entry.group]
         if warmth >= 1.0:
             return True
         if self._shown_us != self._now:
@@ -806,9 +796,15 @@
             warm = [one for one in self._members.values() if not one.drained and self._warmth(one) >= 1.0]
             shown = sum(map(self._rate, warm)) / len(warm) if warm else self._shown
             self._shown = max(shown, 0.99 * self._shown + 0.01 * shown)
-        window_s = self._settings.fall_us / 1e6
-        rate = max(COLD_FLOOR / self._settings.peers / window_s,
-                   COLD_PART * self._settings.overload_factor * warmth * self._shown)
+        window_s, part = self._settings.fall_us / 1e6, COLD_PART * self._settings.overload_factor * warmth
+        # What only the primary takes, as a multiple of what a member of the group takes of all requests.
+        own = self._tied * sum(not one.drained for one in group.members.values())
+        if request is not None and request.draw:
+            # Threat: all that has waited comes at once. It is spread over as long as it can have waited.
+            spread_us = self._settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us)
+            return request.draw * own <= part * min(1.0, (self._now - group.known_us) / spread_us)
+        part -= own if group.primary == member.entry.member else 0.0
+        rate = max(COLD_FLOOR / self._settings.peers / window_s, part * self._shown)
         passed_s = (self._now - max(member.tokens_us, member.started_us)) / 1e6
         member.tokens = min(max(1.0, rate * window_s), member.tokens + rate * max(0.0, passed_s))
         member.tokens_us = self._now
@@ -820,27 +816,31 @@
 
     # ---- Overload ----
 
-    def _has_room(self, member: Member, share: float) -> bool:
-        """Whether a member may have one more attempt out, within a share of what it has shown it can hold."""
+    def _has_room(self, member: Member, share: float, request: Request | None = None) -> bool:
+        """Whether a member may have one more attempt out, or this request."""
+        return self._is_free(member, share) and self._within_budget(member, 1.0, request)
+
+    def _is_free(self, member: Member, share: float) -> bool:
+        """Whether one more attempt is within a share of what a member has shown it can hold."""
         room = max(1.0, member.room * share * self._warmth(member))
         return (not member.drained and not self._in_doubt(member) and self._now >= member.full_until_us
-                and len(member.out) + 1 <= room and self._within_budget(member, 1.0))
+                and len(member.out) + 1 <= room)
 
     def _grow(self, member: Member, event: api.AttemptEnded) -> None:
         """Room follows what a member shows: more while answers come in good time, less when slow or full."""
+        group = self._groups[member.entry.group]
         if event.outcome is Outcome.SERVED:
             member.rate = self._rate(member) + 1e6 / HEARTBEAT_US
             member.rate_us = self._now
             member.refused = 0
             # Threat: a first guess far above what answers take keeps a member out of the turn for long.
             part = 0.1 if member.duration_us else 1.0
-            self._groups[member.entry.group].usual_us = -1.0
+            group.usual_us = -1.0
             member.duration_us += part * (event.duration_us - member.duration_us)
             self._answer_us += 0.05 * (event.duration_us - self._answer_us)
-            group = self._groups[member.entry.group]
             group.answer_us += 0.05 * (event.duration_us - group.answer_us)
             request = self._requests.get(event.request)
-            self._admit_by(member, request is not None
+            self._admit_by(member, request is not None  # the way there, as checks show it, left out
                            and event.duration_us - member.check_cost_us > request.rule.aim_us / 2)
             if member.duration_us > self._target_us:
                 self._cut(member)
@@ -848,18 +848,18 @@
                 member.room += min(0.25 * member.room, 1.0 / member.room)
         elif event.outcome is Outcome.FULL:
             member.full_until_us = self._now + round(self._random.uniform(0.5, 1.5) * 4 * self._tick_us)
-            self._due_by(self._groups[member.entry.group], member.full_until_us)
+            self._due_by(group, member.full_until_us)
             self._cut(member)
             self._admit_by(member, True)
         elif event.outcome is Outcome.LATE and event.duration_us > self._target_us:  # else a short wait
             self._cut(member)
-            if self._usual_us(self._groups[member.entry.group]) > self._target_us:
+            if self._usual_us(group) > self._target_us:
                 self._admit_by(member, True)  # where other answers are quick, this one was lost
         elif event.outcome is Outcome.NO_CONNECTION:
             # Threat: a member that takes few connections. The next try waits, longer each time.
             pause = min(self._tick_us << min(member.refused, 8), HOLD_CHECK_US)
             member.full_until_us = self._now + round(pause * self._random.uniform(0.5, 1.5))
-            self._due_by(self._groups[member.entry.group], member.full_until_us)
+            self._due_by(group, member.full_until_us)
             member.refused += 1
 
     def _cut(self, member: Member) -> None:
@@ -870,8 +870,7 @@
     def _admit_by(self, member: Member, slow: bool) -> None:
         """Threat: one attempt of each of many routers is already too much; room cannot fall below one.
 
-        Then a share of the requests is let in, by chance, so that busy and idle routers give up alike. An
-        answer is slow when it took half its aim, the way there (as checks show it) left out.
+        Then a share of the requests is let in, by chance, so that busy and idle routers give up alike.
         """
         group = self._groups[member.entry.group]
         if not slow:
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -39,6 +39,7 @@
     copied: bool = False
     failed: bool = False
     asked: int = 0
+    draw: float = 0.0  # of a request that only a primary takes: above 0, at most 1
 
 
 @dataclass(slots=True)
@@ -85,6 +86,8 @@
     usual_us: float = -1.0  # what answers take; below 0 it must be counted anew
     share: float = 1.0
     checked_us: int = LONG_AGO
+    lost_us: int = 0  # since when there was no primary,
+    known_us: int = 0  # until this one was known
     due_us: int = NEVER
 
 
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -48,7 +48,7 @@
     holds, model = Holds(), dict[str, tuple[int, int, int]]()
     for number, (half, length, last, _) in enumerate(made):
         one = request(number)
-        holds.put(one, ("k", 1.0, False, (), False), 0)
+        holds.put(one, ("k", 1.0, False, (), False, 0.0), 0)
         holds.ends_at(one, half, half + length, last)
         model[one.id] = half, half + length, last
     now = 0
