At full primaries reads with a choice give up before what only the primary takes

Checked: cold members (17 cuts), time-outs (900), replicas full (none). Cause: rules.py _choose gives reads half of the primary's room; with a room of one at each of 200 routers half is one, too. So reads that no replica fits fill the primaries, and _admit_by then let all of the group pay, also the reads at its replicas. Change: each router keeps the share of such reads that it lends to primaries. A primary's full, slow or late answers cut that first; only then, or where nothing was lent for a heartbeat, the group's share. Test fails without.

--- a/oatlink/rules.py
+++ b/oatlink/rules.py
@@ -46,6 +46,7 @@
         self._shown, self._shown_us = 0.0, LONG_AGO
         self._answer_us = self._target_us
         self._arrived, self._tied = 0, 0.0  # requests, and the share of them that only a primary takes
+        self._lend, self._lent_us = 1.0, LONG_AGO  # of the others, the share that may go to primaries
         self._worth = (sum(rule.worth for rule in settings.classes) or 1.0) / len(settings.classes)
         self._ask_at_us = NEVER
         self._ask_wait_us = 0
@@ -241,10 +242,7 @@
     # ---- Member record ----
 
     def _hear(self, member: Member, report: api.Report | None, fresh: bool) -> None:
-        """Set role, position and time heard from an answer (fresh) or a report, as old as its position.
-
-        A report older than the time at which the held role was true must not overturn that role.
-        """
+        """Set role, position and time heard. A report, as old as its position, overturns no later role."""
         member.heard_us = self._now
         if report is None:
             return
@@ -337,10 +335,7 @@
         self._pump(self._groups[member.entry.group])
 
     def _heartbeats(self, group: Group) -> None:
-        """Check what has grown old, when a request comes for the group: an answer is as good as a check.
-
-        Threat: hundreds of routers that check all members all the time are more work than the requests.
-        """
+        """Check what has grown old, when a request comes. Threat: hundreds that check all the time."""
         for member in group.members.values():
             if member.role is Role.UNKNOWN:
                 self._check_unknown(member)
@@ -372,9 +367,8 @@
         if member is None:
             return False
         request.asked += 1
-        holds = self._holds[group.id]
-        if request.asked == MOST_ASKED and request.id in holds:
-            holds.put(request, self._kind(request), self._held_need(request))
+        if request.asked == MOST_ASKED and request.id in self._holds[group.id]:
+            self._holds[group.id].put(request, self._kind(request), self._held_need(request))
         return member.check_sent_us is not None
 
     def _ask_one(self, replicas: list[Member], before_us: int) -> Member | None:
@@ -419,18 +413,15 @@
             best = self._most_advanced(others, need)
         elif best is None and self._settings.may_probe and self._ask_replica(request, group):
             return None
-        # Threat: reads crowd out what only the primary takes. Those with a choice get half of its room,
-        # current reads, which have none, three quarters, writes all.
+        # Threat: reads crowd out writes. Those with a choice get half the room, current ones three quarters.
         share = 0.75 if request.rule.freshness is Freshness.LATEST else 0.5
-        if best is None and primary is not None and self._has_room(primary, share, request):
-            best = primary
+        lent = request.tied or request.draw <= self._lend
+        if best is None and primary is not None and lent and self._has_room(primary, share, request):
+            best, self._lent_us = primary, self._lent_us if request.tied else self._now
         return best or self._turn_over(fit)
 
     def _most_advanced(self, replicas: list[Member], need: int) -> Member | None:
-        """Replicas near enough when last heard take turns; with none, the most advanced gets its one try.
-
-        Threat: a router with few reads knows no fresh position. A miss costs little; the read moves on.
-        """
+        """Replicas near enough when last heard take turns, else the most advanced. A miss costs little."""
         likely = [one for one in replicas if self._now - one.lag_us >= need]
         return self._turn_over(likely) or min(replicas, key=lambda one: one.lag_us, default=None)
 
@@ -468,7 +459,7 @@
         number = len(request.attempts)
         request.attempts.append(Attempt(member.entry.member, self._now))
         member.out[(request.id, number)] = self._now
-        member.tokens -= 0.0 if request.draw else 1.0
+        member.tokens -= 0.0 if request.tied else 1.0
         self._turn += 1
         member.turn = self._turn
         self._holds[request.group].pop(request.id)
@@ -581,10 +572,11 @@
         need = self._now if rule.freshness is Freshness.LATEST else need
         request = Request(event.request, rule, event.group, self._now, self._now + event.expires_in_us,
                           event.session, need, rule.worth * self._share_worth(event.tenant), group.arrived)
-        if self._settings.peers > FEW_PEERS and rule.freshness in (Freshness.WRITE, Freshness.LATEST):
+        if self._settings.peers > FEW_PEERS:
+            request.tied = rule.freshness in (Freshness.WRITE, Freshness.LATEST)
             request.draw = (1 + self._random.randrange(DRAWS)) / DRAWS
-        self._arrived += 1
-        self._tied += (bool(request.draw) - self._tied) * max(1 / self._arrived, 0.01)
+            self._arrived += 1
+            self._tied += (request.tied - self._tied) * max(1 / self._arrived, 0.01)
         self._requests[request.id] = request
         if group.checked_us < 0:
             self._check_all(group)  # the first request of a group asks its members who they are
@@ -612,9 +604,8 @@
             return 1.0
         rate, left, since = self._shares[tenant]
         left = min(rate, left + rate * (self._now - since) / 1e6)
-        within = left >= 1.0
-        self._shares[tenant] = (rate, left - 1.0 if within else left, self._now)
-        return 1.0 if within else self._settings.over_share_worth
+        self._shares[tenant] = (rate, left - (left >= 1.0), self._now)
+        return 1.0 if left >= 1.0 else self._settings.over_share_worth
 
     def _session_need(self, event: api.Arrival) -> int | None:
         """The last write that a session's read must see, carried by the client or remembered here."""
@@ -712,7 +703,7 @@
     def _kind(self, request: Request) -> Kind:
         late = self._now > request.arrived_us + request.rule.aim_us
         return (request.rule.name, request.worth, late, tuple(request.tried), request.asked >= MOST_ASKED,
-                request.draw)
+                request.draw if request.tied else 0.0)
 
     def _held_need(self, request: Request) -> int:
         return self._need(request) if request.rule.freshness is Freshness.SESSION else 0
@@ -785,8 +776,7 @@
         """Threat: a cold member pushed over by all routers. What goes there costs tokens, the first drawn.
 
         They come at the rate that this router alone has had from warm members: all add up to what one can do.
-        Threat: tokens lie with routers that have no request, and writes at a cold primary wait for one. What
-        only it takes comes first, by chance: each router lets in the same share of its own.
+        Threat: tokens lie with routers without requests. What only a primary takes comes first, by chance.
         """
         warmth, group = self._warmth(member), self._groups[member.entry.group]
         if warmth >= 1.0:
@@ -799,7 +789,7 @@
         window_s, part = self._settings.fall_us / 1e6, COLD_PART * self._settings.overload_factor * warmth
         # What only the primary takes, as a multiple of what a member of the group takes of all requests.
         own = self._tied * sum(not one.drained for one in group.members.values())
-        if request is not None and request.draw:
+        if request is not None and request.tied:
             # Threat: all that has waited comes at once. It is spread over as long as it can have waited.
             spread_us = self._settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us)
             return request.draw * own <= part * min(1.0, (self._now - group.known_us) / spread_us)
@@ -870,11 +860,15 @@
     def _admit_by(self, member: Member, slow: bool) -> None:
         """Threat: one attempt of each of many routers is already too much; room cannot fall below one.
 
-        Then a share of the requests is let in, by chance, so that busy and idle routers give up alike.
+        Then a share is let in by chance: first, at a primary, of what has a choice, then of all the group's.
         """
         group = self._groups[member.entry.group]
+        lends = group.primary == member.entry.member and self._now - self._lent_us < HEARTBEAT_US
         if not slow:
             group.share = min(1.0, group.share + 0.05)
+            self._lend = min(1.0, (1.05 if lends else 1.0) * self._lend)
+        elif lends and self._lend > LEAST_SHARE:
+            self._lend *= 0.8
         elif member.room <= 1.0 and self._settings.peers > FEW_PEERS:
             group.share = max(LEAST_SHARE, 0.8 * group.share)
 
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -39,7 +39,8 @@
     copied: bool = False
     failed: bool = False
     asked: int = 0
-    draw: float = 0.0  # of a request that only a primary takes: above 0, at most 1
+    tied: bool = False  # to the primary, which alone takes it; told apart where there are many routers
+    draw: float = 0.0  # above 0, at most 1, where there are many routers
 
 
 @dataclass(slots=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -546,6 +546,24 @@
     assert refused > 20
 
 
+def test_at_full_primaries_reads_with_a_choice_give_up_before_what_only_the_primary_takes() -> None:
+    """Found on a day of the fleet: reads that no replica fitted kept primaries full, and all of the group gave up."""
+    driver = Driver(peers=64)
+    driver.roster(member(1))
+    driver.arrive("any")
+    for send in sends(driver.checked(1, Role.PRIMARY)):
+        driver.ended(send, Outcome.SERVED, answer=api.Report(None, Role.PRIMARY))
+    tries: dict[str, int] = {}
+    for turn in range(400):
+        done = driver.wait(50_000) if turn % 20 else driver.arrive("view")
+        for send in sends(done):
+            tries[send.request] = tries.get(send.request, -1) + 1
+            driver.ended(send, Outcome.FULL, attempt=tries[send.request])
+    assert sum(one + 1 for one in tries.values()) < 20  # a few of each at first, then none
+    assert not sends(driver.arrive("view"))
+    assert sends(driver.arrive("post"))
+
+
 def test_a_tenant_past_its_share_does_not_pass_what_waits() -> None:
     """Found on a recorded day: one tenant's flood took the room of the others."""
     driver = Driver(tenant_rates=(("big", 4.0), ("small", 40.0)), over_share_worth=0.2).ready()
