--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -44,7 +44,6 @@
         self.served: Counter[tuple[str, bool]] = Counter()
         self.tries: Counter[str] = Counter()
         self.cold_us: list[int] = []
-        self.checks_us: list[tuple[int, int]] = []
         listed = tuple(member(MEMBERS * group + one, group) for group in range(groups) for one in range(MEMBERS))
         for number in range(routers):
             self.give(number, api.Start())
@@ -75,7 +74,6 @@
                 case api.Send():
                     self.send(number, action)
                 case api.Check():
-                    self.checks_us.append((self.now, action.member))
                     self.later(self.now + CHECK_US, number, action)
                 case api.SetTimer():
                     self.later(action.at_us, number, api.TimerFired(action.name))
