--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -24,7 +24,7 @@
 from oatlink.core import messages as m
 from oatlink.core.engine import Engine
 from oatlink.rules import Router
-from oatlink.settings import model
+from oatlink.settings import model, parts
 from oatlink.settings.load import settings_hash
 from oatlink.settings.model import Settings
 
@@ -56,7 +56,7 @@
     m.Way,
     reports.BoxReport,
     model.RequestClass,
-    model.Match,
+    parts.Match,
 )
 _ENUMS: tuple[type[Enum], ...] = (api.Effect, api.Freshness, api.Role, api.Listing, addresses.State)
 KINDS: dict[str, type] = {f"{one.__module__}.{one.__name__}": one for one in (*_RECORDS, *_ENUMS)}
--- /dev/null
+++ b/oatlink/fleet/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases on registers: terms without a common clock. No I/O."""
--- /dev/null
+++ b/oatlink/fleet/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there, as far as others need it. No I/O."""
--- /dev/null
+++ b/oatlink/fleet/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, the keeper's file, the clock. Decides nothing."""
--- /dev/null
+++ b/oatlink/fleet/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Layouts over shards, and who may serve which. No I/O."""
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -18,7 +18,8 @@
 from oatlink.core.reports import parse_info
 from oatlink.gateway.clock import Marks, Stream, patience
 from oatlink.protocols.resp import Limits, ProtocolError, ReplyReader, command, decode
-from oatlink.settings.model import Links, address_fits
+from oatlink.settings.model import Links
+from oatlink.settings.parts import address_fits
 
 ASK = command("INFO", "server") + command("INFO", "replication")
 ASK_BEHIND = command("INFO", "replication")
--- a/oatlink/settings/model.py
+++ b/oatlink/settings/model.py
@@ -3,29 +3,13 @@
 from collections.abc import Iterator
 from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta
 
 from oatlink.core.commands import SLOTS
+from oatlink.settings.fleet import Fleet, check_fleet
+from oatlink.settings.parts import Match, Name, NotNegative, Part, Positive, Share, address_fits
 
 LOOPBACK = ("127.", "[::1]", "localhost:", "unix:")
-Positive = Annotated[int, Meta(gt=0)]
-NotNegative = Annotated[int, Meta(ge=0)]
-Share = Annotated[float, Meta(gt=0, le=1)]
-Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.:-]+$")]
-
-
-class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Base of all settings: immutable, and a misspelt name is a mistake."""
-
-
-class Match(Part, frozen=True):
-    """Which commands a class takes: all conditions given must hold; each list is of alternatives."""
-
-    commands: tuple[str, ...] = ()
-    keys: tuple[str, ...] = ()
-    users: tuple[str, ...] = ()
-    client_names: tuple[str, ...] = ()
 
 
 class RequestClass(Part, frozen=True):
@@ -160,6 +144,7 @@
     record_redact: Literal["none", "values", "keys"] = "none"
     snapshot_file: str = ""
     snapshot_every_ms: Positive = 5_000
+    fleet: Fleet | None = None
 
 
 def check(settings: Settings) -> Iterator[str]:
@@ -182,6 +167,10 @@
         yield f"record_file: expected a path, where record: {settings.record!r} writes when asked"
     yield from _check_banks(settings.banks)
     yield from _check_classes(settings.classes)
+    if settings.fleet is not None:
+        yield from check_fleet(settings.fleet)
+        if settings.workers > 1:
+            yield f"workers: expected 1 with a fleet part, a node is one process, got {settings.workers}"
 
 
 def _check_banks(banks: tuple[Bank, ...]) -> Iterator[str]:
@@ -238,14 +227,3 @@
             yield f"{path}.effect: expected idempotent for a class of reads, got {one.effect}"
         if one.freshness != "write" and one.wait_replicas:
             yield f"{path}.wait_replicas: expected 0 for a class of reads"
-
-
-def address_fits(text: str) -> bool:
-    """Whether a text is host:port, with an IPv6 host in brackets, or unix:PATH."""
-    if text.startswith("unix:"):
-        return len(text) > 5
-    host, colon, port = text.rpartition(":")
-    inside = host[1:-1] if host.startswith("[") and host.endswith("]") else host
-    return bool(
-        colon and host and port.isdigit() and int(port) < 65_536 and (":" not in inside or host.startswith("["))
-    )
--- /dev/null
+++ b/oatlink/settings/parts.py
@@ -0,0 +1,35 @@
+"""What all parts of the settings are made of."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[int, Meta(gt=0)]
+NotNegative = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(gt=0, le=1)]
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.:-]+$")]
+
+
+class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings: immutable, and a misspelt name is a mistake."""
+
+
+class Match(Part, frozen=True):
+    """Which commands a class takes: all conditions given must hold; each list is of alternatives."""
+
+    commands: tuple[str, ...] = ()
+    keys: tuple[str, ...] = ()
+    users: tuple[str, ...] = ()
+    client_names: tuple[str, ...] = ()
+
+
+def address_fits(text: str) -> bool:
+    """Whether a text is host:port, with an IPv6 host in brackets, or unix:PATH."""
+    if text.startswith("unix:"):
+        return len(text) > 5
+    host, colon, port = text.rpartition(":")
+    inside = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    return bool(
+        colon and host and port.isdigit() and int(port) < 65_536 and (":" not in inside or host.startswith("["))
+    )
