One place says whether a match of the settings takes a command; a fleet's node may have routes

Need: tenants are matched as classes are. The conditions stood in classify.py alone. Routes let a node reach others through another address, as the tests' links with faults do.

Change: settings/matching.py, used by classify.py; fleet.routes, checked, outside the fleet's hash.

Measured: tests of the engine, settings and the fleet's settings pass.

--- a/oatlink/core/classify.py
+++ b/oatlink/core/classify.py
@@ -12,11 +12,11 @@
 """
 
 from collections import OrderedDict
-from fnmatch import fnmatchcase
 from functools import lru_cache
 
 from oatlink import interface as api
 from oatlink.core.commands import SLOTS, Kind, Spec, idempotency_key, slot_of
+from oatlink.settings.matching import fits
 from oatlink.settings.model import RequestClass, Settings
 
 DEFAULT_READ = RequestClass("default-read", "latest", "idempotent", 1_000, 5_000)
@@ -77,18 +77,10 @@
     def _find(self, name: str, writes: bool, keyed: bool, key: bytes, user: str, client: str) -> RequestClass:
         text = key.decode("utf-8", "surrogateescape")
         for one in self.classes[:-3]:
-            match = one.match
             if (one.freshness == "write") is not writes or (one.effect == "keyed" and not keyed):
                 continue
-            if match.commands and name not in _lowered(match.commands):
-                continue
-            if match.keys and not any(fnmatchcase(text, pattern) for pattern in match.keys):
-                continue
-            if match.users and user not in match.users:
-                continue
-            if match.client_names and not any(fnmatchcase(client, pattern) for pattern in match.client_names):
-                continue
-            return one
+            if fits(one.match, name, text, user, client):
+                return one
         return DEFAULT_WRITE if writes else DEFAULT_READ
 
     def group_of(self, slots: list[int]) -> int | None:
@@ -100,11 +92,6 @@
         return group
 
 
-@lru_cache(maxsize=1_024)
-def _lowered(names: tuple[str, ...]) -> frozenset[str]:
-    return frozenset(one.lower() for one in names)
-
-
 @lru_cache(maxsize=65_536)
 def slot(key: bytes) -> int:
     """The hash slot of a key, remembered: hashing byte by byte is dear."""
--- a/oatlink/settings/fleet.py
+++ b/oatlink/settings/fleet.py
@@ -1,8 +1,8 @@
 """The settings of what gateways share; without a `fleet` part there is none of it.
 
-Every node's file has the same `nodes`, `tenants` and `versions`; only `node` and `state_dir` differ. Floors are divided
+Every node's file has the same `nodes`, `tenants` and `versions`; only `node`, `state_dir` and `routes` differ. Floors are divided
 over `nodes`, so a list that differs from node to node is a mistake that no node can see by itself: the hash of the
-part without those two goes into each greeting between nodes, and one that differs is refused there.
+part without those goes into each greeting between nodes, and one that differs is refused there.
 """
 
 from collections.abc import Iterator
@@ -55,7 +55,10 @@
 
 
 class Fleet(Part, frozen=True):
-    """What a gateway is told of its fleet. `drift`: by how much of its rate each clock may be wrong."""
+    """What a gateway is told of its fleet. `drift`: by how much of its rate each clock may be wrong.
+
+    `routes`: other addresses under which this node reaches some of the others, by name, where its way leads elsewhere.
+    """
 
     node: Name
     nodes: Annotated[tuple[FleetNode, ...], Meta(min_length=1, max_length=MOST_NODES)]
@@ -67,6 +70,7 @@
     members: MemberLimits = MemberLimits()
     versions: Versions | None = None
     verdicts: bool = True
+    routes: dict[str, str] = {}
 
     @property
     def keepers(self) -> tuple[str, ...]:
@@ -81,7 +85,7 @@
 
 def fleet_hash(fleet: Fleet) -> str:
     """A short name of what must be the same at every node."""
-    same = msgspec.structs.replace(fleet, node="-", state_dir="-", key_files=("-",))
+    same = msgspec.structs.replace(fleet, node="-", state_dir="-", key_files=("-",), routes={})
     return xxhash.xxh64(msgspec.json.encode(same, order="deterministic")).hexdigest()
 
 
@@ -99,6 +103,9 @@
         if one.address in addresses:
             yield f"{path}.address: expected an address of its own, it is also fleet.nodes[{addresses[one.address]}]"
         addresses[one.address] = at
+    for name, address in fleet.routes.items():
+        if name not in names or address.startswith("unix:") or not address_fits(address):
+            yield f"fleet.routes: expected host:port by a name in fleet.nodes, got {name!r}: {address!r}"
     if fleet.node not in names:
         yield f"fleet.node: expected a name in fleet.nodes, got {fleet.node!r}"
     keepers = len(fleet.keepers)
--- /dev/null
+++ b/oatlink/settings/matching.py
@@ -0,0 +1,22 @@
+"""Whether a `match` of the settings takes a command. One home for classes and tenants alike."""
+
+from fnmatch import fnmatchcase
+from functools import lru_cache
+
+from oatlink.settings.parts import Match
+
+
+def fits(match: Match, command: str, key: str, user: str, client: str) -> bool:
+    """Whether all conditions that are given hold. `command` is in small letters, `key` the first one or empty."""
+    if match.commands and command not in _lowered(match.commands):
+        return False
+    if match.keys and not any(fnmatchcase(key, pattern) for pattern in match.keys):
+        return False
+    if match.users and user not in match.users:
+        return False
+    return not match.client_names or any(fnmatchcase(client, pattern) for pattern in match.client_names)
+
+
+@lru_cache(maxsize=1_024)
+def _lowered(names: tuple[str, ...]) -> frozenset[str]:
+    return frozenset(one.lower() for one in names)
