--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -26,6 +26,19 @@
         believed = {state.box.bank for state in self._boxes.values() if self._is_primary(state)}
         return [bank.name for number, bank in enumerate(self.settings.banks) if number not in believed]
 
+    def primary_of(self, bank: str) -> str:
+        """The address of the box that is believed to be a bank's primary, empty without one."""
+        for state in self._boxes.values():
+            if self.settings.banks[state.box.bank].name == bank and self._is_primary(state):
+                return state.box.address
+        return ""
+
+    def _observe(self, state: BoxState, kind: str, history: str = "", offset: int = -1) -> None:
+        """Tell the fleet, where there is one."""
+        if self._gate.on:
+            bank = self.settings.banks[state.box.bank].name
+            self._out.append(m.Observed(state.box.name, bank, kind, history, offset))
+
     def _is_primary(self, state: BoxState) -> bool:
         belief = self.router.belief(state.member)
         return belief is not None and belief.primary
@@ -59,6 +72,8 @@
             state.box = box
             entries.append(self._entry(state))
         self._route(api.Roster(api.RosterKind.WHOLE, tuple(entries)))
+        if self._gate.on:
+            self._out.append(m.Listing(given.boxes))
         if not self._listed:
             self._listed = True
             self._on_inspected(given)  # a gateway that starts asks every box once, before anyone waits for it
@@ -173,6 +188,8 @@
                 group.elections += bool(group.primary)
                 group.recent = [*group.recent[1 - KEPT_ELECTIONS :], (self._now, group.primary, state.box.name)]
                 group.primary = state.box.name
+                self._observe(state, "elected")
+                self._observe(state, "primary", report.replid, report.offset)
         if again or back or first:
             warm_us = self.settings.cold.warm_after_ms * 1_000
             if report.uptime_s >= 0 and report.uptime_s * 1_000_000 < warm_us and (first or again):
--- a/oatlink/core/clients.py
+++ b/oatlink/core/clients.py
@@ -34,7 +34,8 @@
             if ask.started:
                 self._route(api.Departure(str(ask.id)))
             if not ask.open:
-                self._asks.pop(ask.id, None)
+                self._forget(ask.id)
+                self._at_gate.pop(ask.id, None)
 
     def _on_broken(self, given: m.AnyInput) -> None:
         """Outside the protocol: the error in its turn, then the end of the connection."""
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -14,6 +14,7 @@
 from oatlink.core import messages as m
 from oatlink.core.operators import Operators
 from oatlink.core.shared import router_settings
+from oatlink.fleet.gate import Gate
 from oatlink.rules import Router
 from oatlink.settings.model import Settings
 
@@ -40,6 +41,8 @@
             m.Gapped: self._on_gapped,
             m.Reloaded: self._on_reloaded,
             m.Recorded: self._on_recorded,
+            m.Told: self._on_told,
+            m.Replied: self._on_replied,
         }
 
     def handle(self, given: m.AnyInput, now_us: int) -> list[m.AnyEffect]:
@@ -57,6 +60,11 @@
         """The boxes behind the Router's member numbers."""
         return self._names
 
+    @property
+    def gate(self) -> Gate:
+        """What this gateway knows of its fleet; the shell asks it for `demands` only."""
+        return self._gate
+
     def _on_started(self, given: m.AnyInput) -> None:
         assert isinstance(given, m.Started)
         self._code = given.code
@@ -90,6 +98,8 @@
             self._expire(heapq.heappop(self._ends)[1])
         while self._looks and self._looks[0][0] <= now:
             self._looked(*heapq.heappop(self._looks))
+        if now >= self._gate_due:
+            self._ask_gate()
         waits = self._looks[0][0] if self._looks else 2**62
         for state in list(self._check_waits.values()):
             if state.check_waits_us:
@@ -97,7 +107,7 @@
                     self._probe(state)
                 else:
                     waits = min(waits, state.check_waits_us)
-        next_us = min(self._router_due, self._ends[0][0] if self._ends else 2**62, waits)
+        next_us = min(self._router_due, self._ends[0][0] if self._ends else 2**62, waits, self._gate_due)
         if next_us < self._wake_us:
             self._wake_us = next_us
             self._out.append(m.Wake(next_us))
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from oatlink.fleet.gate import AnyNews
 from oatlink.settings.model import Settings
 
 
@@ -162,6 +163,19 @@
     settings: Settings
 
 
+class Told(Input, frozen=True):
+    """News from the fleet, for the gate."""
+
+    news: AnyNews
+
+
+class Replied(Input, frozen=True, gc=False):
+    """What came of an `Errand`: a text for the operator who asked."""
+
+    client: int
+    text: str
+
+
 class Recorded(Input, frozen=True, gc=False):
     """What came of a `Record`: a line for the operator who asked."""
 
@@ -236,6 +250,14 @@
     word: str
 
 
+class Errand(Effect, frozen=True, gc=False):
+    """An operator's word to the fleet; a `Replied` must follow."""
+
+    client: int
+    word: str
+    text: bytes = b""
+
+
 class Probe(Effect, frozen=True, gc=False):
     """Ask a box for its report over one address."""
 
@@ -302,6 +324,26 @@
     text: str = ""
 
 
+class Seek(Effect, frozen=True, gc=False):
+    """A request waits for the fleet's word: its node should ask now."""
+
+
+class Observed(Effect, frozen=True, gc=False):
+    """Something was seen of a box that the fleet may be told: a kind of `fleet.messages.Evidence`, or `elected`."""
+
+    box: str
+    bank: str
+    kind: str
+    history: str = ""
+    offset: int = -1
+
+
+class Listing(Effect, frozen=True, gc=False):
+    """Discovery's list, for the fleet's node."""
+
+    boxes: tuple[Box, ...]
+
+
 class Counted(Effect, frozen=True, gc=False):
     """A request's final answer, for the figures: its class, how it ended and what it took in microseconds."""
 
@@ -328,6 +370,8 @@
     | Gapped
     | Reloaded
     | Recorded
+    | Told
+    | Replied
 )
 AnyEffect = (
     Answer
@@ -336,6 +380,7 @@
     | Send
     | Release
     | Record
+    | Errand
     | Probe
     | Dial
     | Use
@@ -345,5 +390,8 @@
     | DropIdle
     | Wake
     | Note
+    | Seek
+    | Observed
+    | Listing
     | Counted
 )
--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -86,13 +86,17 @@
             session.places.append(session.recording[-1])
             self._out.append(m.Record(session.client, args[1][:16].decode("utf-8", "replace").lower()))
             return
+        if name in (b"FLEET", b"LAYOUT") and len(args) <= 3:
+            self._send_errand(session, name, args)
+            return
         if name in ADMIN and len(args) == 1:
             self._say(session, encode(self._admin_value(name), session.protocol))
             return
         spec = find(args[0])
         if spec is None or spec.name not in ("ping", "info", "hello", "auth", "client", "command", "quit", "echo"):
             words = " ".join(sorted(one.decode() for one in ADMIN))
-            self._say(session, error(f"ERR not served to operators; they have INFO, PING, RECORD WORD and {words}"))
+            words = f"INFO, PING, RECORD WORD, FLEET, LAYOUT WORD and {words}"
+            self._say(session, error(f"ERR not served to operators; they have {words}"))
         elif not spec.arity_fits(len(args)):
             self._say(session, error(f"ERR wrong number of arguments for '{spec.name}' command"))
         elif not self._local.admits(session, spec):
@@ -109,6 +113,28 @@
             session.recording.popleft().answer = encode(Simple(text)) if given.done else error("ERR " + given.text)
             self._flush(session)
 
+    def _send_errand(self, session: Session, name: bytes, args: list[bytes]) -> None:
+        """`FLEET`, or `LAYOUT` with a word of its own: the fleet's node answers later."""
+        word = "rows" if name == b"FLEET" else args[1][:16].decode("utf-8", "replace").lower() if args[1:] else "status"
+        texts = 3 if word == "propose" else 2 - (name == b"FLEET" or len(args) == 1)
+        if word not in ("rows", "status", "propose", "back", "resume") or len(args) != texts:
+            self._say(session, error("ERR expected FLEET, or LAYOUT with STATUS, PROPOSE TEXT, BACK or RESUME"))
+            return
+        if not self._gate.on:
+            self._say(session, error("ERR no fleet in the settings"))
+            return
+        session.errands.append(Place())
+        session.places.append(session.errands[-1])
+        self._out.append(m.Errand(session.client, word, args[2] if word == "propose" else b""))
+
+    def _on_replied(self, given: m.AnyInput) -> None:
+        """The fleet's node has answered an operator; answers come in the order of the words."""
+        assert isinstance(given, m.Replied)
+        session = self._sessions.get(given.client)
+        if session is not None and session.errands:
+            session.errands.popleft().answer = encode(given.text.encode("utf-8", "replace"))
+            self._flush(session)
+
     def _admin_value(self, name: bytes) -> Value:
         """What an operators' word shows; `INSPECT` asks every box anew and shows nothing."""
         now = self._now
--- a/oatlink/core/reload.py
+++ b/oatlink/core/reload.py
@@ -25,6 +25,7 @@
     "record_parts": "a recording keeps the bound it was begun with",
     "record_redact": "half a recording would hold what the other half must not",
     "snapshot_file": "a later start would look for it elsewhere",
+    "fleet": "its nodes have agreed on what they were started with",
     # Threat: a session whose name changes with its kind forgets its own write, and reads older data.
     "sessions": "sessions would no longer find their own writes",
 }
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -10,12 +10,12 @@
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core import outcomes
-from oatlink.core.boxes import Boxes
 from oatlink.core.classify import PINNED, slots_of
 from oatlink.core.commands import Kind, Spec
+from oatlink.core.gated import Gated
 from oatlink.core.overload import past
 from oatlink.core.reports import parse_info
-from oatlink.core.sessions import Ask, Place, Session, failure, refusal
+from oatlink.core.sessions import Ask, Place, Session, failure, over_quota, refusal, unserved
 from oatlink.interface import Outcome, Role
 from oatlink.protocols.resp import command, encode_command, error
 from oatlink.settings.model import RequestClass
@@ -23,7 +23,7 @@
 SLACK_US = 4_000  # the last moment for a final answer lies so long before the client's time is up
 
 
-class Requests(Boxes):
+class Requests(Gated):
     """Requests between clients and the Router."""
 
     @property
@@ -102,6 +102,12 @@
                     self._end_unwatched(ask)
                     self._route(api.AttemptEnded(str(ask.id), attempt, action.member, Outcome.CANCELLED, 0, over=True))
                     return
+        if ask.version and not self._fits(state, ask):
+            del ask.open[attempt]
+            self._path_ended(state, address, "", "unsent", self._now, 0)
+            self._turn_back(ask, state)
+            self._route(api.AttemptEnded(str(ask.id), attempt, action.member, Outcome.CANCELLED, 0, over=True))
+            return
         wants = self._now - state.informed_us >= self._sample_us // 2 and not ask.transaction and not ask.alone
         if wants:
             state.informed_us = self._now
@@ -148,7 +154,7 @@
             # The Router gives up held work in time by itself; this is the last guard of the first rule.
             self._route(api.Departure(str(request)))
             self._fail(ask)
-        self._asks.pop(request, None)
+        self._forget(request)
 
     def _on_ended(self, given: m.AnyInput) -> None:
         """An attempt has ended: what it says of the box, then of the request."""
@@ -195,7 +201,7 @@
             over = True
         self._route(api.AttemptEnded(str(ask.id), given.attempt, member, outcome, given.took_us, over, answer, report))
         if ask.place.answer is not None and not ask.open:
-            self._asks.pop(ask.id, None)
+            self._forget(ask.id)
 
     def _serve(self, ask: Ask, given: m.Ended, member: int) -> None:
         """The first good answer goes to the client."""
@@ -231,7 +237,7 @@
             return
         ask.place.answer = data
         if not ask.open:
-            self._asks.pop(ask.id, None)
+            self._forget(ask.id)
         session = self._sessions.get(ask.client)
         if session is None:
             return
@@ -241,7 +247,8 @@
             session.waiting = [one for one in session.waiting if one is not ask]
         self._flush(session)
         for waiting in session.next_to_start():
-            self._start(session, waiting)
+            if waiting.gated is None:
+                self._start(session, waiting)
 
     def _request(self, session: Session, spec: Spec, args: list[bytes]) -> None:
         """A command with keys, or one without where there is one group only."""
@@ -272,7 +279,20 @@
             self._shed(session, rule, back_us)
             return
         session.shed = 0
+        gated = version = 0
+        if self._gate.on:
+            version, away_us = self._version(session, rule, slots)
+            if away_us:
+                self._say(session, unserved(version, away_us))
+                return
+            gated = self._over_quota(session, rule, spec.name, keys, 1)
+            if gated > 0:
+                self._say(session, over_quota(gated))
+                return
         ask = self._ask(session, rule, slots, writes, encode_command(args))
+        ask.version = version
+        if gated:
+            self._hold_at_gate(ask, spec.name, keys, 1)
         if session.lease:
             ask.lease = session.lease
         elif rule.wait_replicas:
@@ -335,13 +355,15 @@
     def _enter(self, session: Session, ask: Ask) -> None:
         """Start a request, or let it wait for its client's earlier ones."""
         self._asks[ask.id] = session.asks[ask.id] = ask
+        if ask.version:
+            self._busy[ask.version] = self._busy.get(ask.version, 0) + 1
         heapq.heappush(self._ends, (ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US, ask.id))
         free = session.may_start(ask)
         session.enter(ask)
-        if free:
-            self._start(session, ask)
-        else:
+        if not free:
             session.waiting.append(ask)
+        elif ask.gated is None:
+            self._start(session, ask)
 
     def _start(self, session: Session, ask: Ask) -> None:
         """Hand a request to the Router."""
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -49,6 +49,8 @@
     may_have_run: bool = False  # by an attempt that has ended
     runs_from: int = 0  # bytes of the payload before which nothing of it can run; 0: all of them
     open: dict[int, tuple[int, str, int, str]] = field(default_factory=dict)  # attempt: member, box, when, address
+    version: int = 0  # of the layout that it is made for; 0: none here
+    gated: tuple[str, list[bytes], int] | None = None  # waits for the fleet's word: command, first key, cost
 
 
 @dataclass(slots=True)
@@ -78,6 +80,8 @@
     shed: int = 0  # times refused for the gateway's own load, one after the other
     admin: bool = False
     recording: deque[Place] = field(default_factory=deque)  # asked of the recorder, not yet answered
+    pinned: int = 0  # the version that this connection's requests are made for, unless its name says another
+    errands: deque[Place] = field(default_factory=deque)  # asked of the fleet's node, not yet answered
 
     def may_start(self, ask: Ask) -> bool:
         """Whether nothing unfinished stands before a new command."""
@@ -142,6 +146,18 @@
     return encode(Error(b"TRYAGAIN refused, nothing was run; retry after %d ms" % -(-retry_after_us // 1000)))
 
 
+def over_quota(retry_after_us: int) -> bytes:
+    """The final answer of a request that its tenant's quota refuses: nothing ran, and when to come again."""
+    back_ms = -(-retry_after_us // 1000)
+    return encode(Error(b"QUOTA over the tenant's rate, nothing was run; retry after %d ms" % back_ms))
+
+
+def unserved(version: int, retry_after_us: int) -> bytes:
+    """The final answer of a request whose version is not served here now: nothing ran, and when to come again."""
+    text = b"LAYOUT %d is not served here now, nothing was run; retry after %d ms"
+    return encode(Error(text % (version, -(-retry_after_us // 1000))))
+
+
 def failure(writes: bool) -> bytes:
     """The final answer of a failed request."""
     return encode(
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -17,6 +17,7 @@
 from oatlink.core.positions import Positions
 from oatlink.core.reports import BoxReport
 from oatlink.core.sessions import Ask, Session
+from oatlink.fleet.gate import Gate, gate_of
 from oatlink.rules import Router
 from oatlink.settings.model import RequestClass, Settings
 
@@ -70,6 +71,10 @@
         self._looks: list[tuple[int, str, int]] = []  # when, box, and what to look at (`ways`)
         self._dialling = 0
         self._dials_wait: deque[tuple[str, int]] = deque()
+        self._gate: Gate = gate_of(settings)
+        self._at_gate: dict[int, Ask] = {}  # wait for the gate's word
+        self._gate_due = 2**62
+        self._busy: dict[int, int] = {}  # by version: requests of it that are not over
         self._names: dict[int, str] = {}  # member: box
         self._last_member = 0
         self._sessions: dict[int, Session] = {}
@@ -165,6 +170,12 @@
     def _enter(self, session: Session, ask: Ask) -> None:
         raise NotImplementedError
 
+    def _start(self, session: Session, ask: Ask) -> None:
+        raise NotImplementedError
+
+    def _forget(self, request: int) -> None:
+        raise NotImplementedError
+
     def _queue(self, session: Session, args: list[bytes], writes: bool, slots: list[int]) -> None:
         raise NotImplementedError
 
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -63,7 +63,7 @@
 _NAMES = {one: name for name, one in KINDS.items()}
 
 # What an engine is made of and not what it remembers; made anew from the settings.
-_ENGINE_MADE = frozenset(("settings", "_classifier", "router", "_local", "_handlers", "_out"))
+_ENGINE_MADE = frozenset(("settings", "_classifier", "router", "_local", "_handlers", "_out", "_gate"))
 _ROUTER_MADE = frozenset(("_settings", "_random", "_do"))
 
 
@@ -80,6 +80,7 @@
     engine: Any
     router: Any
     random: Any
+    gate: Any = None
 
 
 # ---- Values ----
@@ -191,7 +192,9 @@
     held = {name: writer.put(getattr(engine, name)) for name in _held(engine) if name not in _ENGINE_MADE}
     routed = {name: writer.put(getattr(router, name)) for name in _held(router) if name not in _ROUTER_MADE}
     version, numbers, gauss = router._random.getstate()
-    head = Head(__version__, settings_hash(engine.settings), now_us, held, routed, [version, list(numbers), gauss])
+    drawn = [version, list(numbers), gauss]
+    hashed = settings_hash(engine.settings)
+    head = Head(__version__, hashed, now_us, held, routed, drawn, engine.gate.remembered())
     payload = msgspec.msgpack.encode(head)
     return MAGIC + xxhash.xxh64_digest(payload) + payload
 
@@ -236,6 +239,7 @@
         version, numbers, gauss = head.random
         engine.router._random = random.Random()
         engine.router._random.setstate((version, tuple(numbers), gauss))
+        engine.gate.recall(head.gate)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise SnapshotError(f"{name}: {type(error).__name__}: {error}") from None
     return engine
--- a/oatlink/core/transactions.py
+++ b/oatlink/core/transactions.py
@@ -4,7 +4,7 @@
 from oatlink.core.classify import PINNED, slots_of
 from oatlink.core.clients import Clients
 from oatlink.core.commands import Spec
-from oatlink.core.sessions import Ask, Session, refusal
+from oatlink.core.sessions import Ask, Session, over_quota, refusal, unserved
 from oatlink.protocols.resp import OK, QUEUED, Null, encode, encode_command, error
 
 
@@ -72,6 +72,19 @@
         rule = self._classifier.of_transaction(writes, session.user, session.name)
         if session.lease and not writes:
             rule = PINNED
+        gated, key = 0, queued[0][0][1:2] if queued else []
+        version = 0
+        if self._gate.on and queued:
+            version, away_us = self._version(session, rule, slots)
+            if away_us:
+                self._release(session)
+                self._say(session, unserved(version, away_us))
+                return
+            gated = self._over_quota(session, rule, "exec", key, len(queued))
+            if gated > 0:
+                self._release(session)
+                self._say(session, over_quota(gated))
+                return
         parts = [
             b"*1\r\n$5\r\nMULTI\r\n",
             *(encode_command(one) for one, _ in queued),
@@ -79,9 +92,12 @@
         ]
         ask = self._ask(session, rule, slots, writes, b"".join(parts), len(queued) + 2)
         ask.transaction = ask.executes = True
+        ask.version = version
         ask.lease = session.lease
         if not session.lease and rule.wait_replicas:
             ask.alone = True
+        if gated:
+            self._hold_at_gate(ask, "exec", key, len(queued))
         self._enter(session, ask)
 
     def _watch(self, session: Session, spec: Spec, args: list[bytes]) -> None:
@@ -96,12 +112,20 @@
         if self._draining:
             self._say(session, refusal(self.settings.limits.retry_after_max_ms * 1_000))
             return
+        gated, keys = 0, spec.keys(args)
+        if self._gate.on:
+            gated = self._over_quota(session, PINNED, spec.name, keys, 1)
+            if gated > 0:
+                self._say(session, over_quota(gated))
+                return
         if not session.lease:
             self._last_lease += 1
             session.lease, session.lease_box, session.lease_lost = self._last_lease, "", False
         session.watching += [one for one in slots if one not in session.watching]
         ask = self._ask(session, PINNED, slots, True, encode_command(args))
         ask.lease, ask.watches = session.lease, True
+        if gated:
+            self._hold_at_gate(ask, spec.name, keys, 1)
         self._enter(session, ask)
 
     def _end_lease(self, ask: Ask) -> None:
--- a/oatlink/fleet/gate.py
+++ b/oatlink/fleet/gate.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from oatlink.fleet.messages import Demand, Marker
+from oatlink.settings.model import Settings
 
 ADMITTED = 0
 HELD = -1
-"""No grant is known yet and one was asked for: ask again when news come, or after `Gate.patience_us` at the latest."""
+"""No grant is known yet and one was asked for: ask again soon. A gate says so for a short time only."""
 
 
 # ---- News: what a gate is told ----
@@ -48,8 +49,8 @@
 class Seen(News, frozen=True, gc=False):
     """Others saw this of a member, `at_us` at the latest; weighed already (`verdicts.weigh`): what it may do here.
 
-    `act`: check (ask the member now), later (put it later in the turn until `until_us`), position (it held `offset` of
-    `history` at `at_us`).
+    `act`: check (ask the member now), later (put it later in the turn until `until_us` or until it serves us; a time
+    that is past takes it back), position (it held `offset` of `history` at `at_us` or before: no primary's sample).
     """
 
     member: str
@@ -85,15 +86,12 @@
 
     on: bool
 
-    @property
-    def patience_us(self) -> int:
-        """How long a request may be `HELD`."""
-        ...
-
-    def admit(self, user: str, client: str, keys: list[bytes], command: str, cost: int, now_us: int) -> int:
+    def admit(
+        self, user: str, client: str, keys: list[bytes], command: str, cost: int, now_us: int, again: bool = False
+    ) -> int:
         """`ADMITTED`, `HELD`, or above 0: refused, and in how many microseconds to come back.
 
-        What was admitted is spent, whatever becomes of the request. `cost` is in commands.
+        What was admitted is spent, whatever becomes of the request. `cost` is in commands; `again`: it was `HELD`.
         """
         ...
 
@@ -101,6 +99,11 @@
         """The version of a request by its client's name, else what its session is pinned to (0: nothing), else ours."""
         ...
 
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """The versions that may be served now, none without layouts."""
+        ...
+
     def marker(self, bank: str, version: int) -> Marker | None:
         """What a member of the bank must have applied to serve the version; None: every member serves it."""
         ...
@@ -113,22 +116,32 @@
         """`ADMITTED`, or in how many microseconds a connection to this member may be begun."""
         ...
 
-    def hear(self, news: AnyNews, now_us: int) -> None:
-        """Take in news."""
+    def hear(self, news: AnyNews, now_us: int) -> bool:
+        """Take in news. Whether members must show something that they need not have shown before."""
         ...
 
     def demands(self, now_us: int) -> tuple[Demand, ...]:
         """What was asked of each allowance that is in use; changes nothing."""
         ...
 
+    def remembered(self) -> object:
+        """All that was heard and spent, as plain values, for a snapshot."""
+        ...
+
+    def recall(self, value: object) -> None:
+        """Take over what `remembered` gave. Raises `ValueError` where it is nothing of the kind."""
+        ...
+
 
 class Open:
     """No fleet: every question is answered so that nothing is other than without the question."""
 
     on = False
-    patience_us = 0
+    versions: tuple[int, ...] = ()
 
-    def admit(self, user: str, client: str, keys: list[bytes], command: str, cost: int, now_us: int) -> int:
+    def admit(
+        self, user: str, client: str, keys: list[bytes], command: str, cost: int, now_us: int, again: bool = False
+    ) -> int:
         """See `Gate.admit`."""
         return ADMITTED
 
@@ -148,12 +161,30 @@
         """See `Gate.dial`."""
         return ADMITTED
 
-    def hear(self, news: AnyNews, now_us: int) -> None:
+    def hear(self, news: AnyNews, now_us: int) -> bool:
         """See `Gate.hear`."""
+        return False
 
     def demands(self, now_us: int) -> tuple[Demand, ...]:
         """See `Gate.demands`."""
         return ()
 
+    def remembered(self) -> object:
+        """See `Gate.remembered`."""
+        return None
+
+    def recall(self, value: object) -> None:
+        """See `Gate.recall`."""
+
 
 OPEN = Open()
+
+
+def gate_of(settings: Settings) -> Gate:
+    """The gate that the settings call for. Without a `fleet` part nothing of the fleet's cores is even imported."""
+    if settings.fleet is None:
+        return OPEN
+    from oatlink.fleet.gating import FleetGate
+
+    members = (one.name for bank in settings.banks for one in bank.members)
+    return FleetGate(settings.fleet, members, settings.seed)
--- /dev/null
+++ b/oatlink/fleet/gating.py
@@ -0,0 +1,108 @@
+"""The gate of a gateway in a fleet: its tenants, allowances and layouts behind one seam. No I/O."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from oatlink.fleet.gate import ADMITTED, NO_LAYOUT, Alone, AnyNews, Granted, Layout, Served
+from oatlink.fleet.limits.allowance import Allowance
+from oatlink.fleet.limits.node import Allowances, Use
+from oatlink.fleet.limits.tenants import Tenants
+from oatlink.fleet.messages import Demand, Marker
+from oatlink.fleet.versions.node import Layouts
+from oatlink.settings.fleet import Fleet
+
+TENANT = "tenant/"
+DIALS = "dials/"
+
+
+def allowances_of(fleet: Fleet, members: Iterable[str]) -> dict[str, Allowance]:
+    """All that is divided: rate a second, burst, and the share that is every node's own, by name."""
+    found: dict[str, Allowance] = {TENANT + one.name: (one.rate, one.burst, one.floor) for one in fleet.tenants}
+    if fleet.members.dials_per_s:
+        limits = fleet.members
+        found |= {DIALS + one: (limits.dials_per_s, limits.dials_burst, limits.floor) for one in members}
+    return found
+
+
+class FleetGate:
+    """See `oatlink.fleet.gate.Gate`."""
+
+    on = True
+
+    def __init__(self, fleet: Fleet, members: Iterable[str], seed: int) -> None:
+        self._tenants = Tenants(fleet.tenants)
+        self._allowances = Allowances(allowances_of(fleet, members), len(fleet.nodes), seed)
+        self._dials = fleet.members.dials_per_s > 0
+        self._layouts = None if fleet.versions is None else Layouts(fleet.versions.word, seed)
+
+    def admit(
+        self, user: str, client: str, keys: list[bytes], command: str, cost: int, now_us: int, again: bool = False
+    ) -> int:
+        """See `Gate.admit`."""
+        tenant = self._tenants.name_of(command, keys, user, client)
+        return self._allowances.admit(TENANT + tenant, cost, now_us, again) if tenant else ADMITTED
+
+    def layout(self, client: str, pinned: int, now_us: int) -> Layout:
+        """See `Gate.layout`."""
+        return NO_LAYOUT if self._layouts is None else self._layouts.layout(client, pinned, now_us)
+
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """See `Gate.versions`."""
+        served = self._layouts.served if self._layouts is not None else None
+        return served.versions if served is not None else ()
+
+    def marker(self, bank: str, version: int) -> Marker | None:
+        """See `Gate.marker`."""
+        return None if self._layouts is None else self._layouts.marker(bank, version)
+
+    def offered(self, bank: str, version: int) -> bool:
+        """See `Gate.offered`."""
+        return self._layouts is None or self._layouts.offered(bank, version)
+
+    def dial(self, member: str, now_us: int) -> int:
+        """See `Gate.dial`."""
+        return max(ADMITTED, self._allowances.admit(DIALS + member, 1, now_us)) if self._dials else ADMITTED
+
+    def hear(self, news: AnyNews, now_us: int) -> bool:
+        """See `Gate.hear`."""
+        if isinstance(news, Granted):
+            self._allowances.hear(news, now_us)
+        elif isinstance(news, Alone):
+            self._allowances.alone()
+        elif isinstance(news, Served) and self._layouts is not None:
+            before = self._layouts.served
+            self._layouts.hear(news)
+            return bool(news.markers) and (before is None or before.markers != news.markers)
+        return False
+
+    def demands(self, now_us: int) -> tuple[Demand, ...]:
+        """See `Gate.demands`."""
+        return self._allowances.demands(now_us)
+
+    def remembered(self) -> object:
+        """See `Gate.remembered`."""
+        held, layouts = self._allowances, self._layouts
+        drawn = served = None
+        if layouts is not None:
+            version, numbers, gauss = layouts.random.getstate()
+            drawn, served = [version, list(numbers), gauss], msgspec.to_builtins(layouts.served)
+        active = {name: msgspec.to_builtins(one) for name, one in held.active.items()}
+        return [active, held.draws, held.swept_us, held.nothing, drawn, served]
+
+    def recall(self, value: object) -> None:
+        """See `Gate.recall`."""
+        read: tuple[dict[str, Use], int, int, bool, Any, Served | None] = msgspec.convert(
+            value, tuple[dict[str, Use], int, int, bool, Any, Served | None]
+        )
+        held = self._allowances
+        held.active, held.draws, held.swept_us, held.nothing = read[:4]
+        if self._layouts is not None and read[4] is not None:
+            version, numbers, gauss = read[4]
+            self._layouts.random = random.Random()
+            self._layouts.random.setstate((version, tuple(numbers), gauss))
+            if read[5] is not None:
+                self._layouts.hear(read[5])
--- a/oatlink/fleet/messages.py
+++ b/oatlink/fleet/messages.py
@@ -53,21 +53,27 @@
     ballot: Ballot
     accepted: Ballot
     record: Record
+    life: int = 0
+    met: tuple[tuple[str, int], ...] = ()  # the newest life of each other keeper (`registers.recovery`)
 
 
 class Accept(Message, frozen=True, gc=False):
-    """Take this record, unless a higher ballot was promised."""
+    """Take this record, unless a higher ballot was promised, and promise `next` where it is higher."""
 
     key: str
     ballot: Ballot
     record: Record
+    next: Ballot = Ballot()
 
 
 class Accepted(Message, frozen=True, gc=False):
-    """The answer to `Accept`."""
+    """The answer to `Accept`; `next` is what was promised with it."""
 
     key: str
     ballot: Ballot
+    life: int = 0
+    met: tuple[tuple[str, int], ...] = ()
+    next: Ballot = Ballot()
 
 
 class Outbid(Message, frozen=True, gc=False):
@@ -78,6 +84,76 @@
     promised: Ballot
 
 
+class Look(Message, frozen=True, gc=False):
+    """Say what was accepted; nothing is promised. `ballot` is a mark, never used before, that the answer bears."""
+
+    key: str
+    ballot: Ballot
+
+
+class Looked(Message, frozen=True, gc=False):
+    """The answer to `Look`; `copied` where the record was taken over and not voted for."""
+
+    key: str
+    ballot: Ballot
+    accepted: Ballot
+    record: Record
+    life: int = 0
+    met: tuple[tuple[str, int], ...] = ()
+    copied: bool = False
+
+
+class Kept(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One register as a keeper has it on disk. `copied`: taken over under a higher promise, so it is no vote."""
+
+    key: str
+    promised: Ballot
+    accepted: Ballot
+    record: Record
+    copied: bool = False
+
+
+class Met(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """The newest life of another keeper; `fresh` where nothing had ever been voted here when it was met."""
+
+    keeper: str
+    life: int
+    fresh: bool = False
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a keeper has on disk of itself: which life of it the file is, whether it votes, whom it has met."""
+
+    life: int
+    begun: bool = False
+    met: tuple[Met, ...] = ()
+
+
+class Copy(Message, frozen=True, gc=False):
+    """A keeper without its file, in its new life, asks for the registers whose keys come after this one."""
+
+    life: int
+    after: str = ""
+
+
+class Copied(Message, frozen=True, gc=False):
+    """A page of registers for that life of the asker; `newest` above it: the asker has had a newer one.
+
+    `own` is the life of the one that answers, `begun` whether it votes, `fresh` whether it had never voted when it
+    first met this life of the asker, `last` whether no register comes after these.
+    """
+
+    life: int
+    after: str
+    own: int
+    begun: bool
+    fresh: bool = False
+    newest: int = 0
+    met: tuple[tuple[str, int], ...] = ()
+    registers: tuple[Kept, ...] = ()
+    last: bool = False
+
+
 # ---- Limits ----
 
 
@@ -177,11 +253,17 @@
 
 
 class Adopt(Message, frozen=True, gc=False):
-    """A node asks which versions it may serve; `busy` are those that something of it is still out for."""
+    """A node asks which versions it may serve; `busy` are those that something of it is still out for.
+
+    `heard`: the newest ask whose answer it took. `since`: the first ask of this process: a new one has lost sight of
+    what the one before had out.
+    """
 
     ask: int
     fence: int
     busy: tuple[int, ...] = ()
+    heard: int = 0
+    since: int = 0
 
 
 class Adopted(Message, frozen=True, gc=False):
@@ -206,10 +288,14 @@
 
 
 class Alive(Message, frozen=True, gc=False):
-    """A node says that it is there; `leaving` where it is about to stop in an orderly way."""
+    """A node says that it is there; `leaving` where it is about to stop in an orderly way.
+
+    `heard`: some of the others it has heard of: (place among all nodes by name, how many milliseconds ago).
+    """
 
     incarnation: int
     leaving: bool = False
+    heard: tuple[tuple[int, int], ...] = ()
 
 
 AnyMessage = (
@@ -218,6 +304,10 @@
     | Accept
     | Accepted
     | Outbid
+    | Look
+    | Looked
+    | Copy
+    | Copied
     | Want
     | Grants
     | Returned
@@ -244,20 +334,15 @@
     message: Message
 
 
-class Kept(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """One register as a keeper has it on disk."""
-
-    key: str
-    promised: Ballot
-    accepted: Ballot
-    record: Record
-
-
 class Keep(Effect, frozen=True, gc=False):
-    """Put these on disk, and once they are surely there, send `then`."""
+    """Put these on disk, and once they are surely there, send `then`. They are put there one after the other.
+
+    An empty one waits for those before it. `standing`, where given, takes the place of the one on disk.
+    """
 
     registers: tuple[Kept, ...]
     then: tuple[Tell, ...]
+    standing: Standing | None = None
 
 
 class Read(Effect, frozen=True, gc=False):
@@ -292,6 +377,43 @@
     asked_us: int
 
 
+class RunStep(Effect, frozen=True, gc=False):
+    """Run one step of a plan on the bank's primary, over one connection; `Sequencer.ran` is told how it ended.
+
+    1. INFO replication; WATCH `marker.KEY`; GET it; ask `marker.verdict`. Where that says run: MULTI, the commands,
+       SET the marker begun (`marker.written`), EXEC. Any error, there or in EXEC's list: failed.
+    2. WATCH, GET; where the marker is still this step begun: MULTI, SET it done, EXEC. INFO replication once more.
+
+    Told are the verdict, and for done the history and offset of the last INFO. Unknown where an answer is missing,
+    EXEC's answer is nil, the two INFO differ in history, or either is not a master's.
+    """
+
+    ask: int
+    bank: str
+    step: int  # the step's number; it is the fence, too: only a higher one is run after it
+    after: int  # the marker must show at least this one
+    version: int
+    kind: str  # expand, contract or undo
+    commands: tuple[tuple[str, ...], ...]
+
+
+class AskMarker(Effect, frozen=True, gc=False):
+    """Read the marker at the bank's present primary: INFO replication, GET, INFO replication; as for `RunStep`.
+
+    `Sequencer.marked` is told the number that it shows (`marker.shown`), or -1 where that is not known.
+    """
+
+    ask: int
+    bank: str
+
+
+class Replied(Effect, frozen=True, gc=False):
+    """The text that an operator's word ends with; `ticket` is the caller's."""
+
+    ticket: int
+    text: str
+
+
 class Note(Effect, frozen=True, gc=False):
     """A line for the people on call."""
 
--- /dev/null
+++ b/oatlink/fleet/node.py
@@ -0,0 +1,154 @@
+"""One node of a fleet: its parts put together. No I/O.
+
+What may live here: which part a message or a register's answer is for. The parts know nothing of one another; their
+effects are carried from one to the next, and what is left is the shell's: `Tell`, `Keep`, `Note`, `Tuned`, `Replied`,
+`RunStep`, `AskMarker`.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+
+from oatlink.fleet import messages as f
+from oatlink.fleet.gating import allowances_of
+from oatlink.fleet.parts.layouts import LayoutPart
+from oatlink.fleet.parts.limits import Limits
+from oatlink.fleet.parts.verdicts import Verdicts
+from oatlink.fleet.registers.acceptor import Acceptor
+from oatlink.fleet.registers.proposer import Proposer
+from oatlink.settings.fleet import Fleet
+
+
+class Node:
+    """What one gateway is in its fleet. Effects come back in the order in which they must be carried out."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        members: Mapping[str, str],
+        longest_deadline_us: int,
+        incarnation: int,
+        seed: int,
+        now_us: int,
+        keeper: Acceptor | None = None,
+    ) -> None:
+        """`members`: those of the settings, with their banks; `keeper`: this node's own, where it is one."""
+        self.name = fleet.node
+        self.keeper = keeper
+        self._proposer = Proposer(fleet.node, incarnation, fleet.keepers, seed)
+        self._limits = Limits(fleet, allowances_of(fleet, members), incarnation, seed)
+        banks = tuple(dict.fromkeys(members.values()))
+        self._layouts = (
+            None
+            if fleet.versions is None
+            else LayoutPart(fleet, fleet.versions, banks, longest_deadline_us, incarnation, seed)
+        )
+        self._verdicts = Verdicts(fleet, incarnation, seed, now_us) if fleet.verdicts else None
+        if self._verdicts is not None:
+            self._verdicts.listed(members, now_us)
+
+    @property
+    def due_us(self) -> int:
+        """When `tick` has something to do, if nothing comes before."""
+        parts = (self.keeper, self._proposer, self._limits, self._layouts, self._verdicts)
+        return min(one.due_us for one in parts if one is not None)
+
+    def receive(self, sender: str, message: f.Message, now_us: int) -> list[f.Effect]:
+        """A message has come."""
+        return self._run(self._take(sender, message, now_us), now_us)
+
+    def tick(self, demands: tuple[f.Demand, ...], busy: tuple[int, ...], now_us: int) -> list[f.Effect]:
+        """Time has passed, or the gateway has something to ask for (`Gate.demands`, versions with requests out)."""
+        effects = self.keeper.tick(now_us) if self.keeper is not None else []
+        effects += self._proposer.tick(now_us)
+        effects += self._limits.tick(demands, now_us)
+        if self._layouts is not None:
+            effects += self._layouts.tick(busy, now_us)
+        if self._verdicts is not None:
+            effects += self._verdicts.tick(now_us)
+        return self._run(effects, now_us)
+
+    def listed(self, members: Mapping[str, str], now_us: int) -> list[f.Effect]:
+        """Discovery has spoken: the members that this gateway has, each with its bank."""
+        return self._run(self._verdicts.listed(members, now_us) if self._verdicts is not None else [], now_us)
+
+    def saw(self, member: str, kind: str, history: str, offset: int, now_us: int) -> list[f.Effect]:
+        """Own evidence on a member (`messages.Evidence`)."""
+        if self._verdicts is None:
+            return []
+        return self._run(self._verdicts.saw(member, kind, history, offset, now_us), now_us)
+
+    def failed_over(self, bank: str, now_us: int) -> list[f.Effect]:
+        """Another primary was seen in a bank, by this gateway."""
+        return self._run(self._layouts.failed_over(bank, now_us) if self._layouts is not None else [], now_us)
+
+    def ran(self, ask: int, how: str, history: str, offset: int, now_us: int) -> list[f.Effect]:
+        """A `RunStep` has ended."""
+        return self._run(
+            self._layouts.ran(ask, how, history, offset, now_us) if self._layouts is not None else [], now_us
+        )
+
+    def marked(self, ask: int, number: int, history: str, offset: int, now_us: int) -> list[f.Effect]:
+        """An `AskMarker` has ended."""
+        return self._run(
+            self._layouts.marked(ask, number, history, offset, now_us) if self._layouts is not None else [], now_us
+        )
+
+    def word(self, word: str, ticket: int, text: bytes, now_us: int) -> list[f.Effect]:
+        """An operator's word about versions; a `Replied` follows."""
+        if self._layouts is None:
+            return [f.Replied(ticket, "no versions in the fleet's settings")]
+        return self._run(self._layouts.word(word, ticket, text, now_us), now_us)
+
+    def leave(self, now_us: int) -> list[f.Effect]:
+        """An orderly end: what is held goes back, so that nobody waits a term for it."""
+        effects = self._limits.leave(now_us)
+        for part in (self._layouts, self._verdicts):
+            if part is not None:
+                effects += part.leave(now_us)
+        return self._run(effects, now_us)
+
+    def gone(self, now_us: int) -> bool:
+        """After `leave`: whether all has been given back."""
+        return self._limits.gone and (self._layouts is None or self._layouts.gone(now_us))
+
+    def rows(self, now_us: int) -> list[tuple[str, str]]:
+        """What this node believes, for operators: name and text."""
+        rows = [("node", self.name)]
+        if self.keeper is not None:
+            rows.append(("keeper", "votes" if self.keeper.begun else "does not vote yet"))
+        for part in (self._limits, self._layouts, self._verdicts):
+            if part is not None:
+                rows += part.rows(now_us)
+        return rows
+
+    def _run(self, effects: list[f.Effect], now_us: int) -> list[f.Effect]:
+        """Carry effects from part to part until only the shell's are left."""
+        queue, out = deque(effects), []
+        while queue:
+            one = queue.popleft()
+            if isinstance(one, f.Read):
+                queue.extend(self._proposer.read(one.ask, one.key, now_us))
+            elif isinstance(one, f.Change):
+                queue.extend(self._proposer.change(one.ask, one.key, one.fence, one.value, now_us))
+            elif isinstance(one, f.Answer):
+                queue.extend(self._answered(one, now_us))
+            elif isinstance(one, f.Tell) and one.to == self.name:
+                queue.extend(self._take(self.name, one.message, now_us))
+            else:
+                out.append(one)
+        return out
+
+    def _answered(self, answer: f.Answer, now_us: int) -> list[f.Effect]:
+        found = self._limits.answered(answer, now_us)
+        if found is None and self._layouts is not None:
+            found = self._layouts.answered(answer, now_us)
+        return found or []
+
+    def _take(self, sender: str, message: f.Message, now_us: int) -> list[f.Effect]:
+        for part in (self._limits, self._layouts, self._verdicts):
+            found = part.take(sender, message, now_us) if part is not None else None
+            if found is not None:
+                return found
+        if isinstance(message, f.Promise | f.Accepted | f.Outbid | f.Looked):
+            return self._proposer.receive(sender, message, now_us)
+        return self.keeper.receive(sender, message, now_us) if self.keeper is not None else []
--- /dev/null
+++ b/oatlink/fleet/registers/ballots.py
@@ -0,0 +1,37 @@
+"""The numbers of tries, and what of a register fits. No state.
+
+A ballot is (counter, node, incarnation), compared in this order. A proposer counts over all its keys and never down,
+and its incarnation is never used again, so no ballot is ever used for two tries, whatever was forgotten.
+"""
+
+from oatlink.fleet.messages import MOST_KEY, MOST_VALUE, Ballot, Record
+
+NOTHING = Ballot()
+MOST_COUNTER = 2**60  # threat: one wrong counter that leaves no room above it, for ever
+MOST_WRITER = 256  # bytes
+MOST_FENCE = 2**60
+
+
+def above(counter: int, node: str, incarnation: int) -> Ballot:
+    """The lowest ballot of a proposer that is higher than all with this counter."""
+    return Ballot(min(counter, MOST_COUNTER - 1) + 1, node, incarnation)
+
+
+def usable(ballot: Ballot) -> bool:
+    """Whether a try may bear this ballot."""
+    return 0 < ballot.counter <= MOST_COUNTER
+
+
+def fits(record: Record) -> bool:
+    """Whether a keeper may be asked to hold this record."""
+    return (
+        0 <= record.fence <= MOST_FENCE
+        and len(record.value) <= MOST_VALUE
+        and len(record.writer) <= MOST_WRITER
+        and len(record.writer.encode(errors="replace")) <= MOST_WRITER
+    )
+
+
+def names(key: str) -> bool:
+    """Whether this may be a register's name."""
+    return 0 < len(key) <= MOST_KEY and len(key.encode(errors="replace")) <= MOST_KEY
--- /dev/null
+++ b/oatlink/fleet/shell/door.py
@@ -0,0 +1,179 @@
+"""The door of a node's own port: who may knock, how many, and who is heard.
+
+What may live here: which connections are accepted, proved, refused and closed. What they say goes to `Door.take`.
+
+Threats: a flood of connections that say nothing (few are held, the oldest goes first, and each has a short time); two
+processes under one name, which would both be believed; a name that nobody listed.
+"""
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+from oatlink.fleet import envelope
+from oatlink.fleet.messages import VERSION
+from oatlink.fleet.shell.inbound import Incoming
+
+MOST_UNPROVED = 64
+MOST_A_PEER = 4
+ACCEPTS_A_TURN = 16
+PROVE_TICKS = 8  # until a Hello must have come: 2 s
+ALIVE_TICKS = 12  # how long a connection speaks for its process after a frame: 3 s
+SILENT_TICKS = 180  # its other end would have closed it long ago: 45 s
+
+
+class Door:
+    """What all accepted connections of a node share, and the door they come through.
+
+    `take` is told of each message: sender and body. `say` writes a line: event, peer, text.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        peers: frozenset[str],
+        fleet: str,
+        keys: tuple[bytes, ...],
+        most_bytes: int,
+        take: Callable[[str, bytes], None],
+        say: Callable[[str, str, str], None],
+        counters: Counter[str],
+    ) -> None:
+        self.node, self.peers, self.fleet, self.keys, self.most_bytes = node, peers, fleet, keys, most_bytes
+        self.take, self.say, self.counters = take, say, counters
+        self.ticks = 0  # time here is counted in them: a process that stood still takes nobody for silent
+        self._unproved: dict[Incoming, None] = {}
+        self._proved: dict[str, list[Incoming]] = {}
+        self._listening: list[socket.socket] = []
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # ---- Who may knock ----
+
+    def listen(self, sockets: list[socket.socket]) -> None:
+        """Accept on bound sockets from now on."""
+        self._loop = asyncio.get_running_loop()
+        self._listening = sockets
+        for one in sockets:
+            self._loop.add_reader(one, self._accept, one)
+
+    def _accept(self, listening: socket.socket) -> None:
+        assert self._loop is not None
+        # Threat: ten thousand at once. So many a turn, and what else waits for the loop has its turn too.
+        for _ in range(ACCEPTS_A_TURN):
+            try:
+                sock, _ = listening.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                # No handle is free: asking again at once would have the loop do nothing else.
+                self.say("fleet accept", "", error.strerror or str(error))
+                self._loop.remove_reader(listening)
+                self._loop.call_later(0.1, self._again, listening)
+                return
+            sock.setblocking(False)
+            self.counters["accepted"] += 1
+            one = Incoming(self)
+            self._unproved[one] = None
+            if len(self._unproved) > MOST_UNPROVED:
+                self.counters["dropped_crowd"] += 1
+                next(iter(self._unproved)).close()
+            task = self._loop.create_task(self._connect(one, sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, one: Incoming, sock: socket.socket) -> None:
+        assert self._loop is not None
+        try:
+            await self._loop.connect_accepted_socket(lambda: one, sock)
+        except OSError:
+            sock.close()
+            self.gone(one)
+
+    def _again(self, listening: socket.socket) -> None:
+        if self._loop is not None and listening in self._listening:
+            self._loop.add_reader(listening, self._accept, listening)
+
+    def close(self) -> None:
+        """Accept and hear no more."""
+        for one in self._listening:
+            if self._loop is not None:
+                self._loop.remove_reader(one)
+            one.close()
+        self._listening = []
+        for conn in [*self._unproved, *(one for some in self._proved.values() for one in some)]:
+            conn.close()
+
+    # ---- Who may be heard ----
+
+    def tick(self) -> None:
+        """A quarter of a second has passed."""
+        self.ticks += 1
+        for one in [one for one in self._unproved if self.ticks - one.heard > PROVE_TICKS]:
+            self.counters["dropped_unproved"] += 1
+            one.close()
+        for some in list(self._proved.values()):
+            for one in list(some):
+                if self.ticks - one.heard > SILENT_TICKS:
+                    one.close()
+                else:
+                    one.acknowledge()
+
+    def prove(self, one: Incoming, frame: bytes) -> envelope.Seal | None:
+        """Frame 0 has come: the sender's seal, or None where it is not to be heard."""
+        hello = envelope.read_hello(frame)
+        if hello is None:
+            self.refuse("dropped_hello")
+            return None
+        known = hello.node if hello.node in self.peers else ""
+        # The version first: what a newer one's tags are made of is not known here.
+        if hello.version > VERSION:
+            self.refuse("dropped_version", known, f"version {hello.version}, this node knows {VERSION}")
+            return None
+        if not known:
+            self.refuse("dropped_name", known, "a name that is not in fleet.nodes")
+            return None
+        seals = (envelope.Seal(key, one.nonce, hello.node, hello.incarnation) for key in self.keys)
+        seal = next((seal for seal in seals if seal.opened(frame) is not None), None)
+        if seal is None:
+            self.refuse("dropped_tag", known, "no key of ours")
+        elif hello.fleet != self.fleet:
+            self.refuse("dropped_fleet", known, "its settings' fleet part differs from ours")
+        elif hello.to != self.node:
+            # Threat: a node in between that passes on what was meant for another.
+            self.refuse("dropped_misled", known, f"it meant {hello.to[:64]!r}")
+        elif self._admit(one, hello):
+            return seal
+        return None
+
+    def _admit(self, one: Incoming, hello: envelope.Hello) -> bool:
+        """Whether this process is the one that has its name."""
+        peers = self._proved.get(hello.node, [])
+        others = [other for other in peers if other.incarnation != hello.incarnation]
+        if any(self.ticks - other.heard <= ALIVE_TICKS for other in others):
+            self.refuse("dropped_twice", hello.node, "another process has this name, and is alive")
+            return False
+        for other in others:  # their process is gone, or silent: from now on this one has the name
+            other.close()
+        if len(peers) >= MOST_A_PEER:
+            peers[0].close()  # the oldest: its other end may be long gone
+        one.name, one.incarnation = hello.node, hello.incarnation
+        self._unproved.pop(one, None)
+        self._proved.setdefault(hello.node, []).append(one)
+        return True
+
+    def refuse(self, counter: str, peer: str = "", text: str = "") -> None:
+        """Count it, and say it where there is something to say."""
+        self.counters[counter] += 1
+        if text:
+            self.say("fleet peer refused", peer, text)
+
+    def gone(self, one: Incoming) -> None:
+        """A connection has ended."""
+        self._unproved.pop(one, None)
+        peers = self._proved.get(one.name, [])
+        if one in peers:
+            peers.remove(one)
+            if not peers:
+                del self._proved[one.name]
--- /dev/null
+++ b/oatlink/fleet/shell/transport.py
@@ -0,0 +1,170 @@
+"""Messages between the nodes that the settings list: sent over connections that this node dialled, heard on others.
+
+What may live here: what all links of a node share, from its port to its counters. It decides nothing: a message that
+is lost, late or doubled is the cores' matter.
+
+A link is simplex, so that a one-way cut is just that. All queues are bounded, and all times of links are counted in
+ticks of a quarter second: a process that stood still takes no link for dead because of it.
+"""
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+from tornado.netutil import bind_sockets
+
+from oatlink.fleet import envelope
+from oatlink.fleet.messages import AnyMessage, Message
+from oatlink.fleet.shell.dialled import Mouth
+from oatlink.fleet.shell.door import Door
+from oatlink.fleet.shell.keys import read_keys
+from oatlink.fleet.shell.outbound import Outgoing
+from oatlink.settings.fleet import Fleet, fleet_hash
+
+TICK_S = 0.25
+FLUSH_S = 0.2  # at an orderly end
+MINUTE_TICKS = 240
+RECEIVE_BYTES = 65_536  # of the kernel's, for each connection that was accepted
+
+
+class Transport:
+    """One node's links to all others.
+
+    `on_message` is told the sender's name and each message; `note` writes a line: event, text. `counters` says what
+    was done and what was dropped, by reason.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        incarnation: int,
+        on_message: Callable[[str, AnyMessage], None],
+        note: Callable[[str, str], None],
+        seed: int,
+    ) -> None:
+        """Reads the keys. Raises `FleetError`."""
+        self.counters: Counter[str] = Counter()
+        self._node, self._most = fleet.node, fleet.most_bytes
+        self._address = fleet.own.address
+        self._on_message, self._note = on_message, note
+        self._addresses = {one.name: fleet.routes.get(one.name, one.address) for one in fleet.nodes}
+        del self._addresses[fleet.node]
+        keys, same = read_keys(fleet.key_files), fleet_hash(fleet)
+        draws = random.Random(f"{seed} {fleet.node}")
+        self._mouth = Mouth(fleet.node, incarnation, same, keys[0], self._say, self.counters, draws)
+        peers = frozenset(self._addresses)
+        self._door = Door(fleet.node, peers, same, keys, self._most, self._heard, self._say, self.counters)
+        self._ways: dict[str, Outgoing] = {}
+        self._sockets: list[socket.socket] = []
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._said: dict[tuple[str, str], int] = {}
+        self._closed = False
+
+    def bind(self) -> None:
+        """Take the node's own address. Raises `OSError` where another process has it."""
+        host, _, port = self._address.rpartition(":")
+        self._sockets = bind_sockets(int(port), host.strip("[]"), backlog=1024)
+        for one in self._sockets:
+            # Threat: a peer that has much to say while this process stands still, read all at once afterwards.
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max(RECEIVE_BYTES, self._most))
+
+    def start(self) -> None:
+        """Listen, and send what is asked for from now on; in the running loop."""
+        self._loop = asyncio.get_running_loop()
+        self._door.listen(self._sockets)
+        self._timer = self._loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        assert self._loop is not None
+        self._timer = self._loop.call_later(TICK_S, self._tick)
+        self._mouth.ticks += 1
+        self._door.tick()
+        for way in self._ways.values():
+            way.tick()
+
+    # ---- Messages ----
+
+    def send(self, to: str, message: Message) -> None:
+        """Send, as far as the link allows. Never blocks and never raises; what is dropped is counted."""
+        if self._closed or self._loop is None:
+            self.counters["dropped_closed"] += 1
+            return
+        if to == self._node:
+            self._loop.call_soon(self._own, message)
+            return
+        address = self._addresses.get(to)
+        if address is None:
+            self.counters["dropped_name"] += 1
+            return
+        try:
+            body = envelope.encode(message)
+        except (TypeError, ValueError, OverflowError, RecursionError):
+            self.counters["dropped_encode"] += 1
+            self._say("fleet message not encoded", to, type(message).__name__)
+            return
+        if len(body) + envelope.LEAST > self._most:
+            self.counters["dropped_long"] += 1
+            self._say("fleet message too long", to, f"{type(message).__name__}: {len(body)} bytes")
+            return
+        way = self._ways.get(to)
+        if way is None:
+            way = self._ways[to] = Outgoing(self._mouth, to, address)
+        way.send(body)
+
+    def up(self, to: str) -> bool:
+        """Whether something sent to this node now is written at once; False for a name not listed."""
+        return to == self._node or (to in self._ways and self._ways[to].up)
+
+    def _own(self, message: Message) -> None:
+        if not self._closed:
+            self._deliver(self._node, message)
+
+    def _heard(self, sender: str, body: bytes) -> None:
+        message = envelope.decode(body)
+        if message is None:
+            # The tag was right: a newer node says what this one does not know.
+            self.counters["dropped_unknown"] += 1
+        elif not self._closed:
+            self._deliver(sender, message)
+
+    def _deliver(self, sender: str, message: Message) -> None:
+        try:
+            self._on_message(sender, message)  # type: ignore[arg-type]
+        except Exception as error:
+            # Threat: one message that a core cannot take ends the link, is asked for again, and ends it again.
+            self.counters["faults"] += 1
+            self._say("fault", sender, f"{type(message).__name__}: {error!r}"[:500])
+
+    def _say(self, event: str, peer: str, text: str) -> None:
+        """A line, once a minute for each event and peer; peers here are listed names or nobody."""
+        ticks = self._mouth.ticks
+        if ticks - self._said.get((event, peer), -MINUTE_TICKS) >= MINUTE_TICKS:
+            self._said[event, peer] = ticks
+            self._note(event, f"{peer}: {text}" if peer else text)
+
+    # ---- End ----
+
+    async def close(self) -> None:
+        """Write what is queued, for at most 200 ms, and end all links. Idempotent."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_S):
+                while left := [one for one in self._ways.values() if not one.empty or one.dialled is not None]:
+                    for one in left:
+                        one.flush()
+                        if one.empty:
+                            one.finish()
+                    await asyncio.sleep(0.005)
+        for one in self._ways.values():
+            one.close()
+        self._door.close()
+        for sock in self._sockets:
+            sock.close()
--- /dev/null
+++ b/oatlink/fleet/versions/errands.py
@@ -0,0 +1,99 @@
+"""What is done at the banks, one errand at a time each: a step that is due, or a look at the marker. No I/O.
+
+Steps are retried with a seeded, growing wait, never passed over. The marker is looked at in turn with that: it is how
+a failover is found that lost a step, whatever else was or was not heard of it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from oatlink.fleet.messages import AskMarker, Effect, RunStep
+from oatlink.fleet.versions.plan import Commands
+from oatlink.fleet.versions.state import State, Step, due
+
+STEP_US, ASK_US = 40_000_000, 5_000_000  # an errand not ended by then is taken for lost; its step may still run
+LOOK_US, IDLE_LOOK_US = 1_000_000, 5_000_000  # between looks at a marker
+FIRST_US, LONGEST_US = 200_000, 10_000_000  # of the wait before a step is tried again, in the mean
+
+CommandsOf = Callable[[str, Step], Commands | None]
+
+
+@dataclass(slots=True)
+class Errand:
+    """What is known of one bank's errands."""
+
+    ask: int = 0  # on its way, 0 without one
+    asked_us: int = 0
+    step: int = 0  # which it runs; 0: it looks at the marker
+    tries: int = 0
+    run_us: int = 0  # not before this time
+    look_us: int = 0
+
+
+class Errands:
+    """All banks'."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = Random(seed)
+        self._ask = 0
+        self._banks: dict[str, Errand] = {}
+
+    def forget(self) -> None:
+        """No answer to what was asked counts any more."""
+        self._banks.clear()
+
+    def hurry(self, bank: str | None = None) -> None:
+        """Look at this bank's marker at once, or try what is due at all of them."""
+        for name, errand in self._banks.items():
+            if bank is None:
+                errand.run_us = errand.tries = 0
+            elif bank == name:
+                errand.look_us = 0
+
+    def work(self, state: State, commands_of: CommandsOf, now_us: int) -> list[Effect]:
+        """What is to be asked of the banks now."""
+        for bank in [one for one in self._banks if one not in state.shards]:
+            del self._banks[bank]
+        out: list[Effect] = []
+        for bank, shard in state.shards.items():
+            errand = self._banks.setdefault(bank, Errand())
+            if errand.ask and now_us - errand.asked_us < (STEP_US if errand.step else ASK_US):
+                continue
+            errand.ask = 0
+            next_step = due(shard)
+            if now_us >= errand.look_us and shard.steps:
+                errand.step = 0
+                errand.look_us = now_us + (IDLE_LOOK_US if state.phase == "idle" else LOOK_US)
+                out.append(AskMarker(self._sent(errand, now_us), bank))
+            elif next_step is not None and now_us >= errand.run_us:
+                step, after = next_step
+                commands = commands_of(bank, step)
+                if commands is None:
+                    continue
+                errand.step = step.number
+                ask = self._sent(errand, now_us)
+                out.append(RunStep(ask, bank, step.number, after, step.version, step.kind, commands))
+        return out
+
+    def _sent(self, errand: Errand, now_us: int) -> int:
+        self._ask += 1
+        errand.ask, errand.asked_us = self._ask, now_us
+        return self._ask
+
+    def ended(self, ask: int, done: bool, look: bool, now_us: int) -> tuple[str, int] | None:
+        """An errand has ended: its bank and step, None where it is not waited for. `look`: at the marker next."""
+        for bank, errand in self._banks.items():
+            if errand.ask != ask or not ask:
+                continue
+            errand.ask = 0
+            if errand.step and done:
+                errand.tries = 0
+            elif errand.step:
+                wait_us = min(LONGEST_US, FIRST_US << min(errand.tries, 8))
+                errand.run_us = now_us + round(wait_us * (0.5 + self._random.random()))
+                errand.tries += 1
+            if look:
+                errand.look_us = now_us
+            return bank, errand.step
+        return None
--- /dev/null
+++ b/oatlink/fleet/versions/state.py
@@ -0,0 +1,141 @@
+"""What the register `versions/state` holds, and what news of a shard's marker make of it. No I/O, no decisions.
+
+What may live here: the form of what was decided, and questions that it answers by itself. Which state follows which
+is `moves`'. A shard has a short chain of steps: those that took it to the version served, and those of the change on
+its way. A step stands in the chain from the moment it is *intended*: nothing runs that is not in the register.
+
+A marker, once known, is never wrong: whoever holds that offset of that history has the step. A step is *lost* where
+the present primary does not show it: it is done again, by the same number, and those after it as well.
+"""
+
+import msgspec
+
+from oatlink.fleet.messages import Marker, ShardOffer
+
+PHASES = ("idle", "expanding", "serving", "moved", "draining", "contracting", "withdrawing", "undoing")
+KINDS = ("expand", "contract", "undo")
+
+
+class Step(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One step of one shard; `history` and `offset` tell where its marker stands, once that was known."""
+
+    kind: str
+    version: int
+    number: int
+    done: bool = False
+    history: str = ""
+    offset: int = -1
+
+
+class Shard(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One bank. `floor`: the number of the newest step that the chain no longer has and that must be there."""
+
+    steps: tuple[Step, ...] = ()
+    floor: int = 0
+
+
+class State(msgspec.Struct, frozen=True, array_like=True):
+    """Which versions are served, and how far the change is on its way. `fence`: that of the lease of its writer.
+
+    `old` is served alone when idle; `new` is 0 then. `plan` is the name of the newest plan that was begun. `count` is
+    the number of the newest step.
+    """
+
+    old: int
+    served: tuple[int, ...]
+    default: int
+    phase: str = "idle"
+    new: int = 0
+    plan: str = ""
+    count: int = 0
+    fence: int = 0
+    shards: dict[str, Shard] = {}
+
+
+def first(version: int) -> State:
+    """The state before there was any change."""
+    return State(version, (version,), version)
+
+
+def encode(state: State) -> bytes:
+    """The register's value."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode(value: bytes) -> State | None:
+    """The register's value, None where it makes no sense."""
+    try:
+        state = msgspec.msgpack.decode(value, type=State)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    served = state.served
+    fits = state.phase in PHASES and state.default in served and len(served) <= 2
+    return state if fits and all(one in (state.old, state.new) for one in served) else None
+
+
+def longest(state: State, banks: tuple[str, ...], version: int) -> int:
+    """The bytes that the register can come to need for these banks."""
+    far = 2**53
+    step = Step("contract", version, far, False, "f" * 40, far)
+    shards = dict.fromkeys((*state.shards, *banks), Shard((step,) * 4, far))
+    full = State(version, (version, version), version, "contracting", version, "f" * 16, far, far, shards)
+    return len(encode(full))
+
+
+def step_of(shard: Shard, kind: str, version: int) -> Step | None:
+    """The shard's step of this kind, if it is intended."""
+    return next((one for one in shard.steps if one.kind == kind and one.version == version), None)
+
+
+def is_done(shard: Shard, kind: str, version: int) -> bool:
+    """Whether that step is done, as far as is known."""
+    step = step_of(shard, kind, version)
+    return step is not None and step.done
+
+
+def due(shard: Shard) -> tuple[Step, int] | None:
+    """The first step that is not done, and the number that its primary must show before it may run."""
+    after = shard.floor
+    for step in shard.steps:
+        if not step.done:
+            return step, after
+        after = step.number
+    return None
+
+
+def shown(state: State, bank: str, number: int, history: str, offset: int) -> State:
+    """The state once the bank's primary has shown this number at that place."""
+    shard = state.shards.get(bank)
+    if shard is None or number < 0 or not history or offset < 0:
+        return state
+    steps = tuple(_shown(step, number, history, offset) for step in shard.steps)
+    if steps == shard.steps:
+        return state
+    return msgspec.structs.replace(state, shards=state.shards | {bank: Shard(steps, shard.floor)})
+
+
+def _shown(step: Step, number: int, history: str, offset: int) -> Step:
+    if step.number > number:
+        return msgspec.structs.replace(step, done=False)
+    if step.done and step.history == history:
+        return step  # the offset known already is lower, and as good
+    return Step(step.kind, step.version, step.number, True, history, offset)
+
+
+def offers(state: State, shard: Shard, version: int) -> bool:
+    """Whether a bank as a whole offers a version, by what is intended and known there."""
+    if step_of(shard, "contract", version + 1) is not None or step_of(shard, "undo", version) is not None:
+        return False
+    step = step_of(shard, "expand", version)
+    return step.done if step is not None else version == state.old
+
+
+def offer(state: State, bank: str) -> ShardOffer:
+    """What nodes are told of a bank: the versions served that it offers, and what its members must have applied."""
+    shard = state.shards[bank]
+    markers = tuple(
+        Marker(step.version, step.history, step.offset)
+        for step in shard.steps
+        if step.kind == "expand" and step.version in state.served and step.history
+    )
+    return ShardOffer(bank, tuple(one for one in state.served if offers(state, shard, one)), markers)
--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -75,6 +75,12 @@
     gateway = Gateway(settings, notes)
     if source:
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload, gateway, source, as_read)
+    seat = None
+    if settings.fleet is not None:
+        from oatlink.gateway.fleet import Seat  # nothing of a fleet is imported without one
+
+        gateway.fleet = seat = Seat(gateway, settings)
+        await seat.node.start()
     # With several workers the first one serves operators: the others share only the clients' port.
     gateway.start(sockets, listen(settings.admin_listen) if settings.admin_listen and number == 0 else None)
     follower = None
@@ -99,7 +105,10 @@
         follower.cancel()
     if shown is not None:
         shown.stop()
+    leaving = asyncio.ensure_future(seat.stop()) if seat is not None else None
     await gateway.stop()
+    if leaving is not None:
+        await leaving
     notes.note("stopped")
 
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections import deque
+from typing import Protocol
 
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import StreamBufferFullError, StreamClosedError
@@ -68,6 +69,13 @@
         self.written: asyncio.Future[None] | None = None
 
 
+class FleetSeat(Protocol):
+    """What a gateway needs of its seat in a fleet (`gateway.fleet`)."""
+
+    def carry(self, effect: m.Seek | m.Errand | m.Observed | m.Listing) -> None:
+        """Do what the engine asks of the fleet."""
+
+
 class Gateway(Shell):
     """One gateway in one process."""
 
@@ -99,6 +107,7 @@
         self._sweeper = PeriodicCallback(self._sweep, 1000)
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
+        self.fleet: FleetSeat | None = None
 
     # ---- Life ----
 
@@ -253,6 +262,11 @@
         elif isinstance(effect, m.Record):
             done, text = self._tape.do(effect.word, self._now_us)
             self.feed(m.Recorded(effect.client, text, done))
+        elif isinstance(effect, m.Seek | m.Errand | m.Observed | m.Listing):
+            if self.fleet is not None:
+                self.fleet.carry(effect)
+            elif isinstance(effect, m.Errand):
+                self.feed(m.Replied(effect.client, "the fleet has not begun"))
         elif isinstance(effect, m.Hangup):
             client = self._clients.get(effect.client)
             if client is not None:
--- /dev/null
+++ b/oatlink/lab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Trouble between the nodes of a fleet, on loopback."""
--- a/oatlink/settings/fleet.py
+++ b/oatlink/settings/fleet.py
@@ -1,8 +1,8 @@
 """The settings of what gateways share; without a `fleet` part there is none of it.
 
-Every node's file has the same `nodes`, `tenants` and `versions`; only `node`, `state_dir` and `routes` differ. Floors are divided
-over `nodes`, so a list that differs from node to node is a mistake that no node can see by itself: the hash of the
-part without those goes into each greeting between nodes, and one that differs is refused there.
+Every node's file has the same `nodes`, `tenants` and `versions`; only `node`, `state_dir`, `key_files` and `routes`
+differ. Floors are divided over `nodes`, so a list that differs from node to node is a mistake that no node can see by
+itself: the hash of the part without those goes into each greeting between nodes, and one that differs is refused.
 """
 
 from collections.abc import Iterator
--- a/oatlink/settings/load.py
+++ b/oatlink/settings/load.py
@@ -32,13 +32,18 @@
     return settings
 
 
-def decode(text: str, name: str, kind: type[T]) -> T:
-    """Evaluate a Jsonnet text and decode it as `kind`. Raises `SettingsError` naming file, place and need."""
+def evaluate(text: str, name: str) -> str:
+    """A Jsonnet text as JSON. Raises `SettingsError`."""
     try:
-        data = _jsonnet.evaluate_snippet(name, text, max_stack=200)
+        return str(_jsonnet.evaluate_snippet(name, text, max_stack=200))
     except RuntimeError as error:
         line = re.sub(r"^[A-Z]+ ERROR: ", "", " ".join(str(error).split("\n")[0].split()))
         raise SettingsError(line if line.startswith(name) else f"{name}: {line}") from None
+
+
+def decode(text: str, name: str, kind: type[T]) -> T:
+    """Evaluate a Jsonnet text and decode it as `kind`. Raises `SettingsError` naming file, place and need."""
+    data = evaluate(text, name)
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
--- /dev/null
+++ b/tests/fleet/test_limits.py
@@ -0,0 +1,352 @@
+from dataclasses import is_dataclass
+from fractions import Fraction
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oatlink.fleet.gate import ADMITTED, HELD, Granted
+from oatlink.fleet.limits import asking, buckets, home, ledger, node, shards
+from oatlink.fleet.limits.allowance import ONE, floor_of, pool_of
+from oatlink.fleet.limits.division import bursts, divide, seated
+from oatlink.fleet.limits.tenants import Tenants
+from oatlink.fleet.messages import NEVER_US, Demand, Grant, Grants, Returned, Tell, Tuned, Want
+from oatlink.settings.fleet import Tenant
+from oatlink.settings.parts import Match
+from tests.fleet.limits_world import DRIFT, RULES, Machine, World, trouble
+
+TERM = home.GRANT_TERM_US
+ONE_HAS_ALL = "greed of one"
+
+
+def troubled(seed: int, drift: float = DRIFT, faults: tuple[str, ...] = ()) -> World:
+    """Four seconds in which what may fail (of `faults`, else drawn) does, and everyone asks for more than there is."""
+    world = World(seed, drift=drift)
+    world.faults = list(faults) or world.faults
+    greedy(world)
+    world.run(4_000_000, trouble)
+    return world
+
+
+def greedy(world: World, rate: float = 3_000.0) -> list[Machine]:
+    for one in world.machines.values():
+        one.greed = dict.fromkeys(RULES, rate)
+    return list(world.machines.values())
+
+
+def over(world: World) -> bool:
+    """Whether a window had too much, or live buckets that would have let it."""
+    return world.rights > 1 or any(world.excess(name) > burst for name, (_, burst, _) in RULES.items())
+
+
+# ---- Never over ----
+
+
+class Outliving(home.Home):
+    def _term_us(self, lease_until_us: int, now_us: int) -> int:
+        return TERM if now_us < lease_until_us else 0
+
+
+class Hasty(home.Home):
+    def _counted_us(self, term_us: int) -> int:
+        return term_us
+
+
+class Newest(ledger.Book):
+    def give(self, row: ledger.Row, serial: int, end_us: int) -> tuple[int, int]:
+        row.live.clear()
+        self._count(row)
+        return super().give(row, serial, end_us)
+
+
+class Full(buckets.Bucket):
+    def __init__(self, rate: int, burst: int, at_us: int) -> None:
+        super().__init__(rate, burst, at_us, burst)
+
+
+class FromTheAnswer(asking.Asker):
+    def receive(self, sender: str, message: Any, now_us: int) -> list[Any]:
+        if message.ask in self._questions:
+            self._questions[message.ask].asked_us = now_us
+        return super().receive(sender, message, now_us)
+
+
+class LastToCome(asking.Asker):
+    def receive(self, sender: str, message: Any, now_us: int) -> list[Any]:
+        self._held.clear()
+        return super().receive(sender, message, now_us)
+
+
+class TakesAny(node.Allowances):
+    def hear(self, news: Granted, now_us: int) -> None:
+        if news.name in self.active:
+            self.active[news.name].serial = min(self.active[news.name].serial, news.serial - 1)
+        super().hear(news, now_us)
+
+
+class Undying(node.Allowances):
+    def hear(self, news: Granted, now_us: int) -> None:
+        super().hear(news, now_us)
+        if news.name in self.active:
+            self.active[news.name].until_us += TERM
+
+
+def _all(allowance: tuple[float, float, float], nodes: int) -> tuple[int, int]:
+    return int(allowance[0] * ONE), int(allowance[1] * ONE)
+
+
+WORLD, PARTS = "tests.fleet.limits_world.", "oatlink.fleet.limits."
+SABOTAGES: dict[str, tuple[dict[str, object], float, tuple[str, ...]]] = {
+    "a grant outlives its home": ({WORLD + "Home": Outliving}, DRIFT, ("no lease", ONE_HAS_ALL)),
+    "drift is not counted": ({WORLD + "Home": Hasty}, 0.1, ("cut", ONE_HAS_ALL)),
+    "only the newest grant counts": ({PARTS + "home.Book": Newest}, DRIFT, ("loss", ONE_HAS_ALL)),
+    "a new bucket is full": ({PARTS + "node.Bucket": Full}, DRIFT, ("restart",)),
+    "a term counts from the answer": ({WORLD + "Asker": FromTheAnswer}, DRIFT, ("stop", ONE_HAS_ALL)),
+    "an overtaken answer is taken": (
+        {WORLD + "Asker": LastToCome, WORLD + "Allowances": TakesAny},
+        DRIFT,
+        ("slow", ONE_HAS_ALL),
+    ),
+    "a grant does not end": ({WORLD + "Allowances": Undying}, DRIFT, ("cut", ONE_HAS_ALL)),
+    "floors are not inside the rate": ({PARTS + "home.pool_of": _all}, DRIFT, ("greed",)),
+}
+
+
+@pytest.mark.parametrize("name", SABOTAGES)
+def test_each_guard_matters(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    patches, drift, faults = SABOTAGES[name]
+    assert not any(over(troubled(seed, drift, faults)) for seed in range(2))
+    for where, what in patches.items():
+        monkeypatch.setattr(where, what)
+    assert any(over(troubled(seed, drift, faults)) for seed in range(20))
+
+
+def test_whatever_fails_no_window_has_more_than_burst_and_rate() -> None:
+    most = 0.0
+    for seed in range(8):
+        world = troubled(seed, (DRIFT, 0.1)[seed % 2])
+        assert not over(world), seed
+        most = max(most, world.excess("a") / RULES["a"][1])
+    assert most > 0.5  # the worlds come near enough to the bound for a mistake to show
+
+
+# ---- Bounded under, and fair ----
+
+
+def test_a_node_cut_off_serves_its_floor_and_all_is_used_two_terms_after_links_heal() -> None:
+    world = World(5)
+    greedy(world)
+    world.run(2_000_000)
+    away = [name for name in world.names if name not in {who for who, _, _ in world.holder.values()}][:2]
+    world.cut = dict.fromkeys(away, True)
+    world.run(1_000_000)  # a grant's term
+    since = world.now
+    world.run(2_000_000)
+    for name, (rate, _, floor) in RULES.items():
+        own = floor * rate / len(world.names)
+        for one in away:
+            assert 0.93 * own <= world.served(name, since, world.now, one) <= 1.03 * own
+        # Those who are not cut off have the whole pool.
+        assert world.served(name, since, world.now) >= 0.95 * rate
+    world.cut = {}
+    world.run(2 * TERM)
+    healed = world.now
+    world.run(1_000_000)
+    for name, (rate, _, _) in RULES.items():
+        assert world.served(name, healed, world.now) >= 0.97 * rate
+        parts = [world.served(name, healed, world.now, one) for one in world.names]
+        assert min(parts) > 0.9 * rate / len(parts)
+
+
+@pytest.mark.parametrize("hammer", [False, True])
+def test_unequal_and_shifting_demand_has_nine_tenths_of_the_rate(hammer: bool) -> None:
+    world = World(3)
+    world.hammer = hammer
+    greeds = [3_000.0, 100.0, 60.0, 600.0]
+    world.run(100_000)
+    start = world.now
+    for _ in range(3):
+        for one, greed in zip(world.machines.values(), greeds, strict=True):
+            one.greed = {"a": greed, "b": greed}
+        world.run(5_000_000)
+        settled = [world.served("a", world.now - 2_000_000, world.now, one) for one in world.names]
+        for greed, part in zip(greeds, settled, strict=True):  # max-min: 100 and 60 in full, the others 420 each
+            assert 0.9 * min(greed, 420) < part <= 1.05 * min(greed, 420)
+        greeds = greeds[1:] + greeds[:1]
+    for name, (rate, _, _) in RULES.items():
+        assert world.served(name, start, world.now) >= 0.9 * rate
+
+
+AMOUNTS = st.integers(0, 10**9)
+
+
+@given(AMOUNTS, st.lists(AMOUNTS, min_size=1, max_size=12), st.integers(12, 40), st.integers(0, 50))
+def test_division_is_max_min_and_never_more_than_there_is(rate: int, asked: list[int], burst: int, turn: int) -> None:
+    demands = [(f"n{number}", demand) for number, demand in enumerate(asked)]
+    parts = divide(rate, demands)
+    assert rate - len(asked) <= sum(parts.values()) <= rate
+    if sum(asked) >= rate:  # whoever has less than it asks has, but for rounding, no less than anyone
+        assert all(parts[one] <= demand for one, demand in demands)
+        assert all(parts[one] >= max(parts.values()) - 12 for one, demand in demands if parts[one] < demand)
+    else:
+        assert all(parts[one] >= demand for one, demand in demands)
+    levels = bursts(burst * ONE, parts)
+    assert sum(levels.values()) <= burst * ONE and min(levels.values()) >= ONE
+    for count in range(1, len(asked)):  # nobody starves where there are fewer seats than nodes
+        turns = range(turn, turn - (-len(asked) // count))
+        assert {one for at in turns for one in seated(list(parts), count, at)} == set(parts)
+
+
+@given(st.tuples(st.floats(0.001, 1e9), st.floats(1, 1e9), st.floats(0, 1)), st.integers(1, 4_096))
+def test_floors_and_pool_are_the_whole(allowance: tuple[float, float, float], nodes: int) -> None:
+    for floor, pool, whole in zip(floor_of(allowance, nodes), pool_of(allowance, nodes), allowance[:2], strict=True):
+        assert floor >= 0 <= pool and -1 < Fraction(whole) * ONE - (nodes * floor + pool) < 2
+
+
+# ---- Parts ----
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 10**6), st.integers(0, 10**8), st.integers(0, 10**7), st.integers(0, 3))),
+)
+def test_a_bucket_is_exact_and_tells_when_to_come(steps: list[tuple[int, int, int, int]]) -> None:
+    bucket, level, rate, burst, now = buckets.Bucket(7, 3 * ONE, 0), Fraction(0), 7, 3 * ONE, 0
+    for passed, new_rate, new_burst, cost in steps:
+        now += passed
+        level = min(level + Fraction(rate * passed, 10**6), Fraction(burst))
+        wait = bucket.wait_us(cost, now)
+        if 0 < wait < NEVER_US:
+            assert level + Fraction(rate * (wait - 1), 10**6) < cost * ONE <= level + Fraction(rate * wait, 10**6)
+        taken = bucket.take(cost, now)
+        assert taken == (level >= cost * ONE) == (wait == 0)
+        level -= cost * ONE if taken else 0
+        rate, burst = new_rate, new_burst
+        bucket.set(rate, burst, now)
+        level = min(level, Fraction(burst))
+        assert bucket.level + Fraction(bucket.rest, 10**6) == level
+
+
+def _home(nodes: int = 3) -> home.Home:
+    one = home.Home(shards.shard_of("a"), RULES, [f"n{number}" for number in range(nodes)], DRIFT)
+    one.began(7, 0)
+    return one
+
+
+def _asked(one: home.Home, who: str, now: int, *demands: Demand, lease: int = 10**9) -> Any:
+    (told,) = one.want(who, Want(1, one.shard, demands), lease, now)
+    assert isinstance(told, Tell)
+    return told.message
+
+
+def test_a_home_gives_to_those_it_knows_what_it_has() -> None:
+    one, other = _home(), next(name for name in "bcdefgh" if shards.shard_of(name) != shards.shard_of("a"))
+    assert one.want("stranger", Want(1, one.shard, (Demand("a", 1.0),)), 10**9, 0) == []
+    assert one.want("n0", Want(1, one.shard + 1, (Demand("a", 1.0),)), 10**9, 0) == []
+    odd = [float("nan"), float("inf"), -1.0, 1e300]
+    assert [grant.name for grant in _asked(one, "n0", 0, Demand("?", 9.0), Demand(other, 9.0)).grants] == []
+    for rate in odd:
+        _asked(one, "n0", 0, Demand("a", rate, 2**62))
+    for now in range(0, 900_000, 1_000):  # a node that floods has a bounded row, and its lost answers all count
+        _asked(one, "n0", now, Demand("a", 500.0))
+    book = one._books["a"]
+    assert len(book.rows["n0"].live) <= ledger.MOST_LIVE
+    assert _asked(one, "n1", 900_000, Demand("a", 500.0)).grants[0].rate == 0
+    one.returned("n0", Returned(one.shard, (("a", 2**62), ("?", 1))), 900_000)
+    assert _asked(one, "n1", 900_001, Demand("a", 500.0)).grants[0].rate == 0  # no serial of this home
+    one.returned("n0", Returned(one.shard, (("a", one._serial),)), 900_000)
+    assert _asked(one, "n1", 900_002, Demand("a", 500.0)).grants[0].rate > 199
+    assert type(_asked(one, "n1", 900_002, Demand("a", 5.0), lease=900_003)).__name__ == "NotHome"
+    one.want("n2", Want(1, one.shard, ()), 10**9, 10_000_000)
+    assert not one._books
+
+
+def test_a_few_seats_go_round() -> None:
+    names = [f"n{number}" for number in range(5)]
+    one = home.Home(shards.shard_of("a"), {"a": (100.0, 2.0, 0.0)}, names)
+    one.began(1, 0)
+    had: dict[str, int] = dict.fromkeys(names, 0)
+    serials = dict.fromkeys(names, 0)
+    for now in range(0, 40_000_000, 250_000):
+        for name in names:
+            (grant,) = _asked(one, name, now, Demand("a", 50.0, serials[name])).grants
+            serials[name] = grant.serial
+            had[name] += grant.burst >= 1
+    assert min(had.values()) >= 20
+
+
+def test_a_node_takes_only_answers_to_its_own_questions() -> None:
+    shard, demands = shards.shard_of("a"), (Demand("a", 9.0), Demand("b", 9.0))
+    homes = dict.fromkeys(range(shards.SHARDS), "h")
+    one = asking.Asker("n0", 1)
+    (first,) = [tell for tell in one.look(demands, homes, 0) if tell.message.shard == shard]  # type: ignore
+    assert isinstance(first, Tell) and isinstance(first.message, Want) and one.due_us <= asking.ASK_US
+    ask = first.message.ask
+    assert one.look(demands, homes, 10_000) == [] == list(one.unanswered(10_000))
+    assert shard in one.unanswered(asking.SILENT_US)
+
+    def answer(serial: int, fence: int = 1, number: int = ask) -> Grants:
+        return Grants(number, shard, fence, (Grant("a", serial, 9.0, 2.0, 2 * TERM), Grant("zz", 1, 9.0, 2.0, TERM)))
+
+    reborn = asking.Asker("n0", 2)  # a new process: its numbers are others
+    reborn.look(demands, homes, 500_000)
+    assert reborn.receive("h", answer(5), 510_000) == []
+    assert one.receive("x", answer(5), 500_000) == one.receive("h", answer(5, number=0), 500_000) == []
+    assert one.receive("h", answer(5, 3), 500_000) == [Tuned(Granted("a", 5, 9.0, 2.0, TERM))]
+    assert one.receive("h", answer(4, 3), 500_000) == one.receive("h", answer(6, 2), 500_000) == []
+    assert one.receive("h", answer(6, 3), TERM) == []  # over before it came
+    assert shard not in one.unanswered(500_000)
+    ended, back = one.leaving(600_000)
+    assert ended == Tuned(Granted("a", 5, 0.0, 0.0, TERM)) and back == Tell("h", Returned(shard, (("a", 5),)))
+    assert one.look(demands, homes, 10**7) == [] == one.receive("h", answer(9, 3), 600_000)
+
+
+def _plain(value: object) -> bool:
+    if is_dataclass(value):
+        return all(_plain(getattr(value, name)) for name in value.__dataclass_fields__)
+    if isinstance(value, dict):
+        return all(_plain(one) for one in (*value, *value.values()))
+    return isinstance(value, int | float | str) or (isinstance(value, tuple) and all(map(_plain, value)))
+
+
+def test_a_gate_holds_the_first_then_refuses_and_spreads() -> None:
+    gate = node.Allowances({"a": (100.0, 20.0, 0.1), "b": (100.0, 20.0, 0.0)}, 2, 1)
+    assert gate.admit("none", 5, 0) == ADMITTED and gate.demands(0) == ()
+    assert gate.admit("a", 1, 0) == HELD and gate.demands(0)[0].serial == 0
+    assert gate.admit("a", 1, node.PATIENCE_US) > 0
+    assert gate.admit("a", 1, 200_000) == ADMITTED  # 0.1 x 100 / 2 a second
+    assert gate.admit("a", 20, 200_000) == node.LONGEST_US  # nobody can ever hold so much here
+    gate.hear(Granted("a", 1, 50.0, 4.0, 1_000_000), 200_000)
+    gate.hear(Granted("a", 2, 50.0, 2.0, 900_000), 260_000)  # 3 are there, 2 stay
+    gate.hear(Granted("a", 1, 90.0, 9.0, 2_000_000), 260_000)  # overtaken
+    assert [gate.admit("a", 1, 260_000) for _ in range(2)] == [ADMITTED] * 2
+    backs = [gate.admit("a", 1, 260_000) for _ in range(200)]
+    assert all(node.SHORTEST_US <= back <= node.LONGEST_US for back in backs) and len(set(backs)) > 100
+    assert gate.demands(260_000)[0].rate <= node.GROWTH * 55
+    gate.hear(Granted("a", 3, 50.0, 9.0, 3_000_000), 2_000_000)  # the one before is over: a new bucket, empty
+    assert gate.active["a"].grant.level == 0 and _plain(gate)
+    assert gate.admit("b", 1, 20_000_000) == HELD and list(gate.active) == ["b"]  # what is idle is dropped
+    assert gate.admit("b", -5, 20_000_000) == ADMITTED and gate.active["b"].floor.level == 0
+    gate.hear(Granted("b", 1, 50.0, 9.0, 99_000_000), 20_000_000)
+    gate.alone()
+    assert gate.admit("a", 1, 30_000_000) > 0 < gate.admit("b", 1, 30_000_000) and not gate.active
+
+
+def test_the_first_tenant_that_fits_and_shards_spread() -> None:
+    one = Tenants(
+        [
+            Tenant("k", Match(keys=("k:*",)), 1, 1),
+            Tenant("u", Match(users=("u",)), 1, 1),
+        ]
+    )
+    assert [one.name_of("get", [key], user, "") for key in (b"k:1", b"x") for user in ("u", "v")] == ["k", "k", "u", ""]
+    for number in range(5_000):
+        one.name_of("get", [b"%d" % number, b"k:1"], "u", f"client {number}")
+    one.name_of("get", [b"x" * 10_000], "u", "")
+    assert len(one._found) == 4_096 and max(len(shape[1]) for shape in one._found) < 10
+    nodes = [f"n{number}" for number in range(9)]
+    for shard in range(shards.SHARDS):
+        order = sorted(nodes, key=lambda name, shard=shard: shards.rank(name, shard, nodes))  # type: ignore
+        assert [shards.rank(name, shard, nodes) for name in order] == list(range(9))
+        rest = order[1:]
+        assert [shards.rank(name, shard, rest) for name in rest] == list(range(8))
