The platform's gateway refuses a fleet part; others' verdicts reach the engine as doubts

Need: nobody may turn the fleet on in run by accident; what others saw of a member enters as evidence that the Router can take (a check now, a turn later), not as a second judge.

Change: platform/config.py refuses fleet in the file and in its settings, in one line; RosterEntry.doubt carries a weighed verdict (the Router reads it with its next change); boxes observe what probes and attempts show of their boxes.

--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -5,15 +5,19 @@
 that a position it once had binds nothing (the Router keeps the higher position of a member).
 """
 
+import msgspec
+
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core import outcomes
 from oatlink.core.reports import BoxReport, parse_info
 from oatlink.core.shared import PROBE_PARTS, BoxState
 from oatlink.core.ways import REPORT, Ways, ways_of
+from oatlink.fleet.gate import Seen
 from oatlink.interface import Outcome, Role
 
 SAMPLE_WAIT_US = 10_000  # a replica's check waits so long for the primary's offset to compare with
+SEEN = {"late": "hung", "refused": "refused", "reset": "reset"}  # how a probe or an attempt ended: evidence for others
 KEPT_ELECTIONS = 16  # a bank, for operators
 
 
@@ -39,6 +43,24 @@
             bank = self.settings.banks[state.box.bank].name
             self._out.append(m.Observed(state.box.name, bank, kind, history, offset))
 
+    def _take_verdict(self, seen: Seen) -> None:
+        """What others saw of a box, weighed already. It is asked, or comes later in the turn; no more than that.
+
+        Threat: old news about a box that has answered here since.
+        """
+        state = self._boxes.get(seen.member)
+        if state is None:
+            return
+        if seen.act == "position":
+            report = state.report
+            if report is not None and report.replid == seen.history and 0 <= report.offset < seen.offset:
+                # What it has applied of one history only grows; what is asked from now on shows as much.
+                state.report, state.told_us = msgspec.structs.replace(report, offset=seen.offset), self._now
+        elif seen.until_us <= self._now < state.doubt[1] or state.heard_us < seen.at_us:
+            until_us = seen.until_us if seen.act == "later" else state.doubt[1]
+            state.doubt = (seen.at_us, until_us)
+            self._route(api.Roster(api.RosterKind.CHANGES, (self._entry(state),)))
+
     def _is_primary(self, state: BoxState) -> bool:
         belief = self.router.belief(state.member)
         return belief is not None and belief.primary
@@ -98,7 +120,9 @@
     def _entry(self, state: BoxState) -> api.RosterEntry:
         box = state.box
         listing = api.Listing.TERMINATING if box.state == "terminating" else api.Listing.READY
-        return api.RosterEntry(state.member, box.bank, box.hall, box.kind, listing, box.primary, state.started_us)
+        return api.RosterEntry(
+            state.member, box.bank, box.hall, box.kind, listing, box.primary, state.started_us, state.doubt
+        )
 
     def _on_gapped(self, given: m.AnyInput) -> None:
         """Nothing shown before the gap proves anything after it: every box is a new member, and is asked.
@@ -122,6 +146,8 @@
         report = parse_info(given.info)
         how = given.how if given.info or given.how != "reply" else "bad reply"
         how = self._shown(state, address, how, report, given.asked_us, given.took_us, probe=True)
+        if how in SEEN:
+            self._observe(state, SEEN[how])
         race = self._races.get((given.box, REPORT))
         if race is None or address not in race.out:  # asked for the path's sake
             if how == "reply":
@@ -190,6 +216,8 @@
                 group.primary = state.box.name
                 self._observe(state, "elected")
                 self._observe(state, "primary", report.replid, report.offset)
+        if report.role == "replica" and report.offset >= 0 and (old is None or old.offset != report.offset):
+            self._observe(state, "position", report.replid, report.offset)
         if again or back or first:
             warm_us = self.settings.cold.warm_after_ms * 1_000
             if report.uptime_s >= 0 and report.uptime_s * 1_000_000 < warm_us and (first or again):
--- a/oatlink/core/gated.py
+++ b/oatlink/core/gated.py
@@ -11,7 +11,7 @@
 from oatlink.core.boxes import Boxes
 from oatlink.core.sessions import Ask, Session, failure, over_quota, unserved
 from oatlink.core.shared import BoxState
-from oatlink.fleet.gate import HELD
+from oatlink.fleet.gate import HELD, Seen
 from oatlink.fleet.messages import Marker
 from oatlink.fleet.versions.compatible import Place, applied
 from oatlink.settings.model import RequestClass
@@ -106,6 +106,9 @@
     def _on_told(self, given: m.AnyInput) -> None:
         """News from the fleet."""
         assert isinstance(given, m.Told)
+        if isinstance(given.news, Seen):
+            self._take_verdict(given.news)
+            return
         if self._gate.hear(given.news, self._now):
             self._serve_versions()
         self._ask_gate()
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -10,6 +10,7 @@
 from oatlink import interface as api
 from oatlink.core import messages as m
 from oatlink.core import outcomes
+from oatlink.core.boxes import SEEN
 from oatlink.core.classify import PINNED, slots_of
 from oatlink.core.commands import Kind, Spec
 from oatlink.core.gated import Gated
@@ -146,6 +147,7 @@
             state = self._boxes.get(box)
             if state is not None:
                 self._path_ended(state, address, "", "late", sent_us, 0)
+                self._observe(state, "hung")
             self._route(
                 api.AttemptEnded(str(request), attempt, member, Outcome.LATE, self._now - sent_us, over=answered)
             )
@@ -182,6 +184,8 @@
                 outcome = Outcome.ERROR  # it has run, but too few replicas hold it yet: not yet an answer
         else:
             # A path that was lost while the box lives says nothing of the box; what was on it may still have run.
+            if state is not None and not only_path and given.how in SEEN:
+                self._observe(state, SEEN[given.how])
             outcome = Outcome.CANCELLED if only_path else outcomes.ENDINGS[given.how]
         ask.may_have_run = ask.may_have_run or outcome.may_have_run
         report = answer = None
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -43,6 +43,7 @@
     refreshing: bool = False  # the engine itself wants its position
     refreshed_us: int = -(2**62)
     check_waits_us: int = 0  # a check waits for the primary's sample, at most until then
+    doubt: tuple[int, int] = (0, 0)  # what others saw of it (`api.RosterEntry.doubt`)
     informed_us: int = -(2**62)  # when a report was last asked for behind an answer
 
 
--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -145,6 +145,7 @@
     listing: Listing = Listing.READY
     primary: bool = False
     started_us: int = 0
+    doubt: tuple[int, int] = (0, 0)  # others saw it fail at the first time; it comes later in the turn until the second
 
 
 @dataclass(frozen=True, slots=True)
--- a/oatlink/platform/config.py
+++ b/oatlink/platform/config.py
@@ -27,16 +27,23 @@
     sockets: int = 1_024
 
 
+class RunOptions(Options):
+    """The settings with what must not be in them here, under either case of its name."""
+
+    fleet: msgspec.Raw = msgspec.Raw(b"")
+
+
 class File(msgspec.Struct):
     """The configuration file. `known` is read by discovery, entry by entry."""
 
-    settings: Options
+    settings: RunOptions
     seed: str | int = 0
     name: str = ""
     listen: str = ""
     discovery: str = ""
     limits: Limits = msgspec.field(default_factory=Limits)
     known: msgspec.Raw = msgspec.Raw(b"")
+    fleet: msgspec.Raw = msgspec.Raw(b"")
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +93,10 @@
         raise ConfigError(f"{path}: {error}") from None
     except (WireError, ValueError) as error:
         raise ConfigError(f"{path}: settings: {error}") from None
+    # Threat: somebody turns on by one line what this platform forbids. Here gateways share nothing.
+    for place, part in (("fleet", file.fleet), ("settings.Fleet", file.settings.fleet)):
+        if bytes(part) not in (b"", b"null"):
+            raise ConfigError(f"{path}: {place}: expected none, gateways share nothing on this platform")
     if file.limits.sockets < LEAST_SOCKETS:
         raise ConfigError(f"{path}: limits.sockets: expected at least {LEAST_SOCKETS}, got {file.limits.sockets}")
     try:
--- a/tests/fleet/test_gated.py
+++ b/tests/fleet/test_gated.py
@@ -207,6 +207,12 @@
 """
 
 
+def test_the_gateway_of_run_imports_nothing_of_it() -> None:
+    words = "import sys, oatlink.platform.gateway; print([one for one in sys.modules if 'oatlink.fleet' in one])"
+    done = subprocess.run([sys.executable, "-c", words], capture_output=True, text=True, check=False)
+    assert done.stdout == "[]\n", done.stderr
+
+
 def test_without_a_fleet_part_nothing_of_it_is_imported() -> None:
     done = subprocess.run([sys.executable, "-c", QUIET, TEMPLATE], capture_output=True, text=True, check=False)
     assert done.stdout == "quiet\n", done.stderr
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -397,6 +397,8 @@
         ({"settings": {}}, "settings"),
         ({"settings": OPTIONS | {"Classes": []}}, "Classes"),
         ({"settings": OPTIONS | {"StepUs": 0}}, "step_us"),
+        ({"fleet": {"node": "a"}}, "fleet: expected none, gateways share nothing"),
+        ({"settings": OPTIONS | {"Fleet": {}}}, "settings.Fleet: expected none, gateways share nothing"),
     ],
 )
 def test_a_wrong_configuration_is_one_line_that_names_its_place(
