Versions over shards: plans, a leased sequencer, markers in the shards, layouts at the gate

Need: a schema change over many shards during which no gateway asks a member for a version that it does not offer.

Change: versions/ (plan, state and phases, sequencer, ledger of terms, marker with the step's number as fence, adoption, layouts, who has applied what). A step is claimed in a register, run in one MULTI with its marker, and looked at anew after a failover; it waits, resumes or goes back until the first contract.

--- /dev/null
+++ b/tests/fleet/test_versions.py
@@ -0,0 +1,310 @@
+"""Layouts over shards: what is refused, what is proven, and that each guard matters."""
+
+from collections import Counter
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oatlink.fleet import messages as f
+from oatlink.fleet.gate import Layout, Served
+from oatlink.fleet.messages import MOST_VALUE, NEVER_US, Marker, ShardOffer
+from oatlink.fleet.versions import marker, plan, state
+from oatlink.fleet.versions.asking import KEPT, Adopter
+from oatlink.fleet.versions.compatible import Place, applied
+from oatlink.fleet.versions.desk import MOST_JOBS, PLAN, STATE
+from oatlink.fleet.versions.ledger import Ledger, lasts
+from oatlink.fleet.versions.node import Layouts, worded
+from oatlink.fleet.versions.sequencer import VERSION_TERM_US, Sequencer
+from tests.fleet import versions_sabotage as sabotage
+from tests.fleet.versions_world import Violation, World
+
+FAR = 10**15
+
+
+def test_whatever_fails_no_request_meets_a_layout_that_is_not_there_and_each_plan_ends() -> None:
+    seen: Counter[str] = Counter()
+    for seed in range(24):
+        world = World(seed)
+        world.play()
+        seen += world.seen
+        seen["versions"] += world.known().old - 1
+        seen["failovers"] += sum(bank.failovers for bank in world.banks.values())
+    least = {
+        "served": 10_000,
+        "versions": 10,
+        "undoing": 8,
+        "failovers": 200,
+        "reigns": 100,
+        "failed": 5,
+        "unknown": 20,
+    }
+    assert all(seen[what] >= number for what, number in least.items()), seen
+
+
+@pytest.mark.parametrize("name", sabotage.SABOTAGES)
+def test_each_guard_that_is_taken_out_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    play, seed, take_out = sabotage.SABOTAGES[name]
+    play(seed)  # with the guard it holds
+    take_out(monkeypatch)
+    with pytest.raises(Violation):
+        play(seed)
+
+
+GOOD = plan.Plan(2, 1, {"a": plan.ShardPlan((("SET", "k", "1"),)), "b": plan.ShardPlan(after=("a",))})
+
+
+def changed(**shard: object) -> plan.Plan:
+    return msgspec.structs.replace(GOOD, shards=GOOD.shards | {"a": plan.ShardPlan(**shard)})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("wrong", "line"),
+    [
+        (msgspec.structs.replace(GOOD, version=3), "version: expected 2"),
+        (msgspec.structs.replace(GOOD, version=1, base=0), "base: expected the version that is served alone"),
+        (msgspec.structs.replace(GOOD, hash="00"), f"hash: expected {plan.name_of(GOOD)}, got '00'"),
+        (msgspec.structs.replace(GOOD, shards={"b": plan.ShardPlan()}), "shards: expected one for each bank, 'a' is"),
+        (msgspec.structs.replace(GOOD, shards=GOOD.shards | {"c": plan.ShardPlan()}), "shards['c']: expected a bank"),
+        (changed(after=("z",)), "shards['a'].after: expected banks of the plan, got 'z'"),
+        (changed(after=("b",)), "shards: expected an order of banks, `after` goes round: a after b after a"),
+        (changed(after=("a",)), "shards: expected an order of banks, `after` goes round: a after a"),
+        (changed(expand=((),)), "shards['a'].expand[0]: expected a command, got an empty one"),
+        (changed(contract=(("GET", "k"), ("multi",))), "shards['a'].contract[1][0]: expected a command that may stand"),
+        (changed(undo=(("BLPOP", "k", "0"),)), "shards['a'].undo[0][0]: expected a command that may stand"),
+        (changed(expand=((" EXEC",),)), "shards['a'].expand[0][0]: expected a command that may stand"),
+        (changed(expand=(("DEL", marker.KEY),)), "shards['a'].expand[0]: expected to leave the key"),
+        (changed(expand=(("SET", "k", "v" * MOST_VALUE),)), f"top level: expected at most {MOST_VALUE} bytes"),
+    ],
+)
+def test_a_mistake_in_a_plan_is_one_line(wrong: plan.Plan, line: str) -> None:
+    found = list(plan.check(wrong, ("a", "b"), state.first(1)))
+    assert len(found) == 1 and found[0].startswith(line), found
+
+
+def test_a_plan_fits_where_it_is_kept() -> None:
+    known = state.first(1)
+    assert list(plan.check(msgspec.structs.replace(GOOD, hash=plan.name_of(GOOD)), ("a", "b"), known)) == []
+    served = msgspec.structs.replace(known, phase="serving", new=2, served=(1, 2))
+    assert [line.split(":")[0] for line in plan.check(GOOD, ("a", "b"), served)] == ["base"]
+    many = tuple(f"bank{number}" for number in range(200))
+    long = plan.Plan(2, 1, dict.fromkeys(many, plan.ShardPlan()))
+    assert any(line.startswith("shards: expected fewer banks") for line in plan.check(long, many, known))
+    deep = plan.Plan(2, 1, {bank: plan.ShardPlan(after=many[at + 1 :][:1]) for at, bank in enumerate(many)})
+    assert not any("goes round" in line for line in plan.check(deep, many, known))
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        (b"{", "top level: expected JSON"),
+        (b"\xff", "top level: expected JSON"),
+        (b'{"version":2,"base":1}', "top level: object missing required field `shards`"),
+        (b'{"version":2,"base":1,"shards":{"a":{"expnad":[]}}}', "shards[...]: object contains unknown field `expnad`"),
+        (b'{"version":2,"base":1,"shards":{"a":{"expand":["GET"]}}}', "shards[...].expand[0]: expected `array`"),
+    ],
+)
+def test_a_plan_that_is_none_is_one_line(text: bytes, line: str) -> None:
+    found = plan.read(text)
+    assert isinstance(found, str) and found.startswith(line), found
+
+
+def test_a_marker_lets_a_step_run_once_in_its_turn() -> None:
+    held: bytes | None = None
+    assert marker.verdict(held, 5, 0) == "run" and marker.verdict(held, 5, 3) == "behind"
+    held = marker.written(3, 2, True)
+    assert marker.shown(held) == 3 and marker.verdict(held, 3, 0) == "done" and marker.verdict(held, 5, 3) == "run"
+    held = marker.written(5, 2, False)  # begun: a command of it may have failed
+    assert marker.shown(held) == 4 and marker.verdict(held, 5, 3) == "run"
+    assert (
+        marker.verdict(held, 4, 0) == marker.verdict(held, 3, 0) == "fenced" and marker.verdict(held, 7, 5) == "behind"
+    )
+    for strange in (b"", b"5", b"5 2 gone", b"-5 2 done", b"9" * 40 + b" 2 done", b"\xff"):
+        assert marker.shown(strange) == -1 and marker.verdict(strange, 5, 0) == "failed"
+
+
+@given(st.lists(st.integers(0, 30), min_size=2, max_size=2), st.integers(0, 30), st.integers(0, 30), st.booleans())
+def test_a_member_has_a_marker_only_where_its_history_says_so(
+    ends: list[int], mark: int, stands: int, promoted: bool
+) -> None:
+    """Two histories as byte strings, the second sharing what lies below the join with the first."""
+    first, join = [("first", at) for at in range(ends[0] + 1)], min(ends[0], ends[1])
+    second = first[:join] + [("second", at) for at in range(join, 31)]
+    held = (second if promoted else first)[: stands + 1]
+    stands = len(held) - 1
+    place = Place("h2", stands, "h1", join) if promoted else Place("h1", stands)
+    says = applied(place, Marker(2, "h1", mark))
+    has = mark < len(first) and first[mark] in held
+    assert not says or has or mark >= len(first)
+    assert says == (stands >= mark and (not promoted or mark < join))
+    assert not applied(Place("h3", stands, "h2", stands), Marker(2, "h1", mark))
+    assert not applied(Place("", stands), Marker(2, "", mark)) and not applied(place, Marker(2, "h1", -1))
+
+
+@given(st.integers(0, 100_000_000), st.floats(0, 0.1), st.floats(-1, 1), st.floats(-1, 1))
+def test_a_term_ends_there_before_it_ends_here(term: int, drift: float, there: float, here: float) -> None:
+    passed = term / (1 + there * drift)  # by a perfect clock
+    assert passed * (1 + here * drift) <= lasts(term, drift) + 1e-6 * term
+
+
+def test_a_version_is_drained_by_a_word_that_was_sent_late_enough_or_by_time() -> None:
+    ledger = Ledger(0.0, 5_000)
+    ledger.began(0)
+    assert not ledger.drained(1, 5_000) and ledger.drained(1, 5_001)
+    now = 100_000
+    assert ledger.gave("n", 10, 10, (1,), 1_000, now)
+    ledger.heard("n", 10, 9, (), now + 500)
+    assert ledger.gave("n", 10, 11, (2,), 1_000, now + 500)
+    ledger.heard("n", 10, 11, (), now + 1_002)  # the answer it names was given while it could serve
+    assert ledger.gave("n", 10, 12, (2,), 1_000, now + 1_002) and not ledger.drained(1, now + 1_003)
+    ledger.heard("n", 10, 12, (1,), now + 1_100)
+    assert not ledger.drained(1, now + 6_050)  # it said so later than the term ended
+    ledger.heard("n", 7, 99, (), now + 1_200)  # another process
+    assert not ledger.drained(1, now + 1_201)
+    ledger.heard("n", 10, 12, (), now + 1_300)
+    assert ledger.drained(1, now + 1_301) and not ledger.drained(2, now + 1_301)
+    assert ledger.drained(2, now + 20_000)  # silent for its term and the deadline
+
+
+def sequencer(now: int = 0, lease: int = 3_000_000) -> Sequencer:
+    """One that has claimed its lease and knows that nothing was ever changed."""
+    one = Sequencer("n", ("a", "b"), 1, 0.01, 1_000_000, 7)
+    one.began(4, now)
+    until = now + lease
+    asked = [effect for effect in one.tick(until, now) if isinstance(effect, f.Read)]
+    assert [effect.key for effect in asked][:2] == [STATE, PLAN]
+    out: list[f.Effect] = []
+    for effect in asked:
+        assert isinstance(one.adopt("m", f.Adopt(1, 0), until, now)[0], f.Tell)
+        assert one.adopt("m", f.Adopt(1, 0), until, now) == [
+            f.Tell("m", f.NotSequencer(1))
+        ]  # not before it has claimed
+        out += one.answer(f.Answer(effect.ask, effect.key, "found", 0, b"", now), until, now)
+    claim = [effect for effect in out if isinstance(effect, f.Change)]
+    assert [effect.key for effect in claim] == [STATE] and not any(isinstance(effect, f.RunStep) for effect in out)
+    one.answer(f.Answer(claim[0].ask, STATE, "changed", 1, claim[0].value, now), until, now)
+    return one
+
+
+@pytest.mark.parametrize("left", [0, 10_000, 51_100, 600_000, 990_000, 5_000_000])
+def test_a_grant_ends_before_the_lease_by_any_clock(left: int) -> None:
+    one = sequencer()
+    told = one.adopt("m", f.Adopt(3, 0), 1_000_000 + left, 1_000_000)[0]
+    assert isinstance(told, f.Tell)
+    if left <= 51_000:
+        assert told.message == f.NotSequencer(3)
+        return
+    assert isinstance(told.message, f.Adopted) and told.message.fence == 4 and told.message.versions == (1,)
+    assert lasts(told.message.term_us, 0.01) <= left and told.message.term_us <= VERSION_TERM_US
+    assert left < VERSION_TERM_US or told.message.term_us == VERSION_TERM_US
+    one.ended()
+    assert one.adopt("m", f.Adopt(4, 0), FAR, 1_100_000) == [f.Tell("m", f.NotSequencer(4))]
+
+
+def test_a_node_takes_each_answer_once_and_never_an_older_one() -> None:
+    one = Adopter("n", 3)
+    assert one.look("", (), 1_000) == [] and not one.unanswered
+    asks = []
+    for at in range(40):
+        sent = one.look("s", (1,), 1_000_000 * (at + 1))[0]
+        assert isinstance(sent, f.Tell) and isinstance(sent.message, f.Adopt)
+        asks.append(sent.message.ask)
+    assert one.unanswered and len(one._asked) == KEPT and sent.message.since == asks[0]
+
+    def answer(ask: int, fence: int = 5, term: int = 700, versions: tuple[int, ...] = (1, 2)) -> list[f.Effect]:
+        offers = (ShardOffer("a", (1,), (Marker(2, "h", 9),)),)
+        return one.receive("s", f.Adopted(ask, fence, term, versions, versions[-1], offers), 99_000_000)
+
+    assert answer(asks[0]) == [] and answer(7) == [] and answer(asks[-1], versions=(1, 3)) == []
+    assert answer(asks[-1], term=0) == [] and answer(asks[-1], versions=(1, 2, 3)) == []
+    news = answer(asks[-3])
+    # From when it asked.
+    assert news == [f.Tuned(Served(5, 38_000_700, (1, 2), 2, (("a", Marker(2, "h", 9)),), (("a", (1,)),)))]
+    assert not one.unanswered and answer(asks[-3]) == [] and answer(asks[-4]) == []
+    assert answer(asks[-1], fence=4) == [] and answer(asks[-1], fence=6) != [] and answer(asks[-2], fence=6) == []
+    one.look("s", (), 99_000_000)
+    assert one.receive("s", f.NotSequencer(asks[-1] + 1), 99_000_000) == [] and one.unanswered
+
+
+@pytest.mark.parametrize(
+    ("client", "version"),
+    [("app;layout=2", 2), ("app;layout=02;x=1", 2), ("app;layout=", 0), ("app;layout=x", 0), ("app", 0), ("", 0)]
+    + [("app;layout=-2", 0), ("app;layout=²", 0), ("app;layout=99999999", 0), ("a;layout=1;layout=3", 3)],
+)
+def test_a_clients_word(client: str, version: int) -> None:
+    assert worded(client, ";layout=") == version
+
+
+def test_a_request_has_a_version_that_is_served_now_or_a_time_to_come_back() -> None:
+    one = Layouts(";layout=", 5)
+    assert 0 < one.layout("app", 0, 0).back_us <= 600_000 and not one.offered("a", 1)
+    one.hear(Served(1, 1_000, (1, 2), 1, (("a", Marker(2, "h", 9)),), (("a", (1, 2)), ("b", (1,)))))
+    assert one.layout("app", 0, 999) == Layout(1) and one.layout("app", 2, 999) == Layout(2)
+    assert one.layout("app;layout=2", 1, 999) == Layout(2)
+    backs = {one.layout("app;layout=3", 1, 999).back_us for _ in range(50)}
+    assert len(backs) > 40 and min(backs) >= 500_000 and max(backs) <= 1_500_000
+    assert one.layout("app", 0, 1_000).back_us > 0
+    assert one.marker("a", 2) == Marker(2, "h", 9) and one.marker("a", 1) is None and one.marker("b", 1) is None
+    nowhere = one.marker("b", 2)
+    assert nowhere is not None and not applied(Place("h", NEVER_US, "", -1), nowhere) and not one.offered("b", 2)
+    assert not one.offered("new", 2) and not one.offered("a", 3)  # a bank of which nothing is known
+    one.hear(Served(1, 2_000, (2,), 2))
+    assert one.offered("new", 2) and one.marker("new", 2) is None
+
+
+def test_a_word_is_answered_in_words() -> None:
+    one = Sequencer("n", ("a", "b"), 1, 0.01, 1_000_000, 7)
+
+    def say(effects: list[f.Effect], known: state.State, want: bytes = b"", how: str = "changed") -> str:
+        while not isinstance(effects[0], f.Replied):
+            more: list[f.Effect] = []
+            for effect in effects:
+                if isinstance(effect, f.Read):
+                    value = state.encode(known) if effect.key == STATE else want
+                    more += one.answer(f.Answer(effect.ask, effect.key, "found", 3, value, 0), 0, 0)
+                elif isinstance(effect, f.Change):
+                    assert (effect.key, effect.fence) == (PLAN, 3) and plan.wanted(effect.value) is not None
+                    more += one.answer(f.Answer(effect.ask, PLAN, how, 4, effect.value, 0), 0, 0)
+            effects = more
+        return effects[0].text
+
+    text, name = msgspec.json.encode(GOOD), plan.name_of(GOOD)
+    idle, shards = state.first(1), {"a": state.Shard(), "b": state.Shard()}
+    busy = msgspec.structs.replace(idle, phase="moved", new=2, served=(1, 2), plan=name, shards=shards)
+    want = plan.encoded("go", name, GOOD)
+    assert say(one.propose(1, text, 0), idle).startswith(f"plan {name} to version 2 is written")
+    assert say(one.propose(1, text, 0), idle, how="differs").startswith("refused: another word")
+    assert "may have been written or not" in say(one.propose(1, text, 0), idle, how="unknown")
+    assert say(one.propose(1, text, 0), busy).startswith("base: expected")
+    assert say(one.propose(1, b"{", 0), idle).startswith("top level: expected JSON")
+    assert say(one.back(1, 0), idle).startswith("nothing to back") and say(one.back(1, 0), busy, want)[:7] == "written"
+    late = msgspec.structs.replace(busy, phase="contracting", served=(2,), default=2)
+    assert say(one.back(1, 0), late, want).startswith("refused: a contract was begun")
+    assert say(one.resume(1, 0), idle, want) == "written: the plan is begun"
+    assert say(one.resume(1, 0), busy, want) == "written: on to version 2"
+    assert say(one.look(1, 0), busy, want).splitlines()[1] == f"wanted: go, plan {name}"
+    for ticket in range(MOST_JOBS):
+        assert len(one.look(ticket, 0)) == 2
+    assert isinstance(one.look(9, 0)[0], f.Replied)
+    assert len(one.tick(0, 10_000_000)) == MOST_JOBS and one.due_us == NEVER_US
+
+
+def test_nonsense_raises_nothing_and_changes_nothing() -> None:
+    random = Random(3)
+    one = sequencer()
+    for at in range(3_000):
+        now, until = at * 40_000, at * 40_000 + random.choice((0, 3_000_000))
+        value = random.choice((b"", b"\x90", random.randbytes(9), plan.encoded("go", "x", None), b"[" * 5_000))
+        how, number = random.choice(("found", "changed", "differs", "unknown", "done", "?")), random.randint(-9, 60)
+        for effect in one.tick(until, now):
+            assert not isinstance(effect, f.RunStep | f.Change)
+        key = random.choice((STATE, PLAN, "versions/run/0", "versions/run/1", "x"))
+        if key != STATE:
+            one.answer(f.Answer(number, key, how, number, value, 0), until, now)
+        one.ran(number, how, "h", number, until, now)
+        one.marked(number, number, "", number, until, now)
+        one.adopt("m", f.Adopt(number, number, (number, -1, 2**70), number, number), until, now)
+        one.failed_over("zz", until, now)
+    assert state.decode(b"\x93") is None and state.decode(b"[" * 9) is None
--- /dev/null
+++ b/tests/fleet/versions_world.py
@@ -0,0 +1,502 @@
+"""Banks, nodes, an arbiter of the lease, registers and a network that fail in every way; and the judge of all that."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+
+from oatlink.fleet import messages as f
+from oatlink.fleet.gate import Served
+from oatlink.fleet.versions import marker, state
+from oatlink.fleet.versions.asking import Adopter
+from oatlink.fleet.versions.compatible import Place, applied
+from oatlink.fleet.versions.moves import settled
+from oatlink.fleet.versions.node import Layouts
+from oatlink.fleet.versions.plan import wanted
+from oatlink.fleet.versions.sequencer import Sequencer
+
+STEP_US = 25_000
+DRIFT = 0.02
+BANKS = ("a", "b")
+
+
+class Violation(AssertionError):  # noqa: N818
+    """What must never be."""
+
+
+def void(_: object) -> None:
+    """For what is told nothing."""
+
+
+Op = tuple[str, int, int, str, bool]  # exec or seal, number, version, kind, whether all its commands did well
+
+
+@dataclass(eq=False)
+class Member:
+    """A server. What it holds follows from its log alone."""
+
+    name: str
+    history: str
+    offset: int = 0
+    parent: str = ""
+    join: int = -1
+    log: list[tuple[int, Op]] = field(default_factory=list)  # (offset after it, what)
+    master: bool = False
+    epoch: int = 0  # grows when its data were replaced and its connections closed
+
+    def offers(self) -> set[int]:
+        versions = {1}
+        for _, (what, _, version, kind, well) in self.log:
+            if what == "exec" and kind == "expand":
+                versions |= {version} if well else set()
+            elif what == "exec":
+                versions.discard(version - 1 if kind == "contract" else version)
+        return versions
+
+    def mark(self) -> bytes | None:
+        return (
+            marker.written(self.log[-1][1][1], self.log[-1][1][2], self.log[-1][1][0] == "seal") if self.log else None
+        )
+
+    def write(self, *ops: Op) -> None:
+        self.offset += 10
+        self.log += [(self.offset, op) for op in ops]
+
+    def place(self) -> Place:
+        return Place(self.history, self.offset, self.parent, self.join)
+
+
+class Bank:
+    """A primary and its replicas, which lag and take its place."""
+
+    def __init__(self, name: str, random: Random) -> None:
+        self.name, self.random = name, random
+        self.members = [Member(f"{name}{number}", f"{name}-h0") for number in range(3)]
+        self.primary = self.members[0]
+        self.primary.master = True
+        self.failovers = 0
+        self.frozen: dict[str, int] = {}
+
+    def fail_over(self) -> None:
+        able = [one for one in self.members if not one.master]
+        if not able:
+            return
+        self.failovers += 1
+        chosen = self.random.choice(able)
+        chosen.parent, chosen.join = chosen.history, chosen.offset + 1
+        chosen.history, chosen.master = f"{self.name}-h{self.failovers}", True
+        self.primary = chosen  # the old one goes on as a master of its own island for a while
+
+    def step(self, now: int) -> None:
+        if self.random.random() < 0.3:
+            self.primary.write()
+        for one in self.members:
+            if one is self.primary or self.frozen.get(one.name, 0) > now:
+                continue
+            if one.history != self.primary.history:
+                if self.random.random() < 0.05:
+                    self._sync(one)
+            elif self.random.random() < 0.2:
+                reach = self.random.randint(one.offset, self.primary.offset)
+                one.log += [(at, op) for at, op in self.primary.log if one.offset < at <= reach]
+                one.offset = reach
+
+    def _sync(self, one: Member) -> None:
+        to = self.primary
+        if not (to.parent == one.history and one.offset < to.join):
+            one.offset, one.log, one.epoch = to.offset, list(to.log), one.epoch + 1
+        one.history, one.parent, one.join, one.master = to.history, to.parent, to.join, False
+
+
+class Node:
+    """One gateway's process, and what its shell would keep."""
+
+    def __init__(self, name: str, world: "World") -> None:
+        self.name, self.world, random = name, world, world.random
+        self.rate = 1 + random.choice((-1, 1, 0)) * DRIFT * 0.99
+        self.shift = random.randrange(10**9)
+        self.incarnation = 0
+        self.up = True
+        self.stopped_until = 0
+        self.start()
+
+    def start(self) -> None:
+        self.incarnation += 1
+        self.up = True
+        seed = self.world.random.randrange(2**32)
+        self.sequencer = Sequencer(self.name, BANKS, 1, DRIFT, self.world.deadline_us, seed)
+        self.adopter = Adopter(self.name, seed)
+        self.layouts = Layouts(";layout=", seed)
+        self.busy: Counter[int] = Counter()
+        self.lease_until = 0
+        self.asks = ""  # whom it takes for the lease's holder
+        self.pinned = False  # it will take nobody else for it
+        self.slow = False  # each of its requests takes all the time that it may
+        self.held: list[Callable[[], None]] = []
+
+    def clock(self) -> int:
+        return self.shift + int(self.world.now * self.rate)
+
+    @property
+    def runs(self) -> bool:
+        return self.up and self.world.now >= self.stopped_until
+
+
+class World:
+    """Everything, from one seed. While it is `quiet` there are no faults but the cuts that a test makes."""
+
+    def __init__(self, seed: int, quiet: bool = False, deadline_us: int = 0) -> None:
+        self.random = Random(seed)
+        self.lease_us = self.random.choice((1_200_000, 2_000_000, 3_000_000))
+        self.deadline_us = deadline_us or self.random.choice((500_000, 1_500_000, 4_000_000))
+        self.now = 0
+        self.quiet = quiet
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = 0
+        self.registers: dict[str, tuple[int, bytes]] = {}
+        self.banks = {name: Bank(name, self.random) for name in BANKS}
+        self.holder, self.lease_end, self.fence = "", 0, 0
+        self.nodes = {f"n{at}": Node(f"n{at}", self) for at in range(3)}
+        self.cuts: dict[tuple[str, str], int] = {}
+        self.expanded: set[tuple[str, int]] = set()
+        self.seen: Counter[str] = Counter()
+
+    def later(self, wait_us: int, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (self.now + wait_us, self.count, what))
+
+    def chance(self, probability: float) -> bool:
+        return not self.quiet and self.random.random() < probability
+
+    def latency(self) -> int:
+        return self.random.randrange(4_000_000) if self.chance(0.04) else self.random.randrange(1_000, 60_000)
+
+    def cut(self, one: str, other: str) -> bool:
+        return self.cuts.get((one, other), 0) > self.now
+
+    def run(self, us: int) -> None:
+        end = self.now + us
+        while self.now < end:
+            self.step()
+
+    def step(self) -> None:
+        self.now += STEP_US
+        if not self.quiet:
+            self.trouble()
+        while self.events and self.events[0][0] <= self.now:
+            heapq.heappop(self.events)[2]()
+        for bank in self.banks.values():
+            bank.step(self.now)
+        for node in self.nodes.values():
+            if node.runs:
+                self.turn(node)
+        self.judge_served()
+
+    def turn(self, node: Node) -> None:
+        held, node.held = node.held, []
+        for what in held:
+            what()
+        self.arbitrate(node)
+        if node.clock() >= node.sequencer.due_us:
+            self.do(node, node.sequencer.tick(node.lease_until, node.clock()))
+        busy = tuple(sorted(version for version, number in node.busy.items() if number > 0))
+        if not node.pinned and (self.quiet or self.random.random() < 0.1):
+            node.asks = self.holder
+        self.do(node, node.adopter.look(node.asks, busy, node.clock()))
+        self.request(node)
+
+    def trouble(self) -> None:
+        random = self.random
+        for node in self.nodes.values():
+            if node.up and random.random() < 0.004:
+                node.up = False
+            elif not node.up and random.random() < 0.05:
+                node.start()
+            if random.random() < 0.006:
+                node.stopped_until = self.now + random.randrange(6_000_000)
+        if random.random() < 0.03:
+            one, other = random.choice([*self.nodes, "lease", "keepers"]), random.choice([*self.nodes, "lease"])
+            self.cuts[one, other] = self.now + random.randrange(8_000_000)
+        for bank in self.banks.values():
+            if random.random() < 0.006:
+                bank.fail_over()
+            if random.random() < 0.02:
+                bank.frozen[random.choice(bank.members).name] = self.now + random.randrange(3_000_000)
+
+    def arbitrate(self, node: Node) -> None:
+        if node.lease_until and node.clock() >= node.lease_until and self.chance(0.3):
+            node.sequencer.ended()  # often it is not told in time
+            node.lease_until = 0
+        if self.cut(node.name, "lease") or (self.holder != node.name and self.now < self.lease_end):
+            return
+        if self.holder == node.name and self.now < self.lease_end and node.lease_until == 0:
+            return  # its predecessor's
+        fresh = self.now >= self.lease_end
+        if fresh and self.holder == node.name and self.chance(0.5):
+            return
+        self.holder = node.name
+        self.lease_end = self.now + int(self.lease_us * (1 + DRIFT) / (1 - DRIFT)) + 1
+        node.lease_until = node.clock() + self.lease_us
+        if fresh:
+            self.fence += 1
+            self.seen["reigns"] += 1
+            node.sequencer.began(self.fence, node.clock())
+
+    def do(self, node: Node, effects: list[f.Effect]) -> None:
+        for one in effects:
+            if isinstance(one, f.Tell):
+                self.send(node.name, one.to, one.message)
+            elif isinstance(one, f.Read | f.Change):
+                self.register(node, one)
+            elif isinstance(one, f.RunStep):
+                self.run_step(node, one)
+            elif isinstance(one, f.AskMarker):
+                self.ask_marker(node, one)
+            elif isinstance(one, f.Tuned) and isinstance(one.news, Served):
+                node.layouts.hear(one.news)
+            elif isinstance(one, f.Replied):
+                self.seen["replies"] += 1
+
+    def to(self, node: Node, wait_us: int, what: Callable[[], list[f.Effect]], process: int = 0) -> None:
+        """Let this process do something later, if it is still there; it comes when it runs again."""
+        incarnation = process or node.incarnation
+
+        def arrive() -> None:
+            if node.up and node.incarnation == incarnation:
+                if self.now < node.stopped_until:
+                    node.held.append(arrive)
+                else:
+                    self.do(node, what())
+
+        self.later(wait_us, arrive)
+
+    def send(self, sender: str, to: str, message: f.Message) -> None:
+        node = self.nodes[to]
+        for _ in range(2 if self.chance(0.05) else 1):
+            if self.cut(sender, to) or self.chance(0.1):
+                continue
+
+            def receive() -> list[f.Effect]:
+                if isinstance(message, f.Adopt):
+                    return node.sequencer.adopt(sender, message, node.lease_until, node.clock())
+                assert isinstance(message, f.Adopted | f.NotSequencer)
+                return node.adopter.receive(sender, message, node.clock())
+
+            self.to(node, self.latency(), receive)
+
+    def register(self, node: Node, ask: f.Read | f.Change) -> None:
+        asked = node.clock()
+        how, fence, value = "unknown", 0, b""
+        reached = not (self.cut("keepers", node.name) or self.chance(0.08))
+        if isinstance(ask, f.Change) and not reached and self.chance(0.7):
+            late = ask
+            self.later(self.random.randrange(5_000_000), lambda: void(self.put(late)))  # it happens all the same
+        if reached:
+            changed = isinstance(ask, f.Change) and self.put(ask)
+            how = "changed" if changed else "found" if isinstance(ask, f.Read) else "differs"
+            fence, value = self.registers.get(ask.key, (0, b""))
+        answer = f.Answer(ask.ask, ask.key, how, fence, value, asked)
+        wait = self.latency() if reached else 1_000_000
+        if not self.chance(0.02):
+            self.to(node, wait, lambda: node.sequencer.answer(answer, node.lease_until, node.clock()))
+
+    def put(self, change: f.Change) -> bool:
+        fence, value = self.registers.get(change.key, (0, b""))
+        if fence != change.fence:
+            return False
+        assert len(change.value) <= 8_192
+        self.registers[change.key] = fence + 1, change.value
+        if change.key == "versions/state":
+            self.judge_state(state.decode(value) if value else None, state.decode(change.value))
+        return True
+
+    def reachable(self, bank: Bank) -> Member:
+        islands = [one for one in bank.members if one.master]
+        return self.random.choice(islands) if self.chance(0.2) else bank.primary
+
+    def run_step(self, node: Node, step: f.RunStep) -> None:
+        process = node.incarnation
+
+        def end(how: str, member: Member) -> None:
+            self.seen[how] += 1
+            told = (step.ask, how, member.history, member.offset) if how == "done" else (step.ask, how, "", -1)
+            self.to(node, self.latency(), lambda: node.sequencer.ran(*told, node.lease_until, node.clock()), process)
+
+        def begin() -> None:
+            member = self.reachable(self.banks[step.bank])
+            history, value = member.history, member.mark()
+            word = marker.verdict(value, step.step, step.after)
+            if word != "run" or self.chance(0.1):
+                end("unknown" if word == "run" else word, member)
+            else:
+                self.later(self.latency(), lambda: execute(member, history, value))
+
+        def execute(member: Member, history: str, value: bytes | None) -> None:
+            if not member.master or member.history != history or member.mark() != value:
+                return end("unknown", member)
+            well = not self.chance(0.1)
+            if step.kind == "contract" and step.version not in member.offers():
+                raise Violation(f"contract {step.version} at {member.name} which offers {member.offers()}")
+            member.write(("exec", step.step, step.version, step.kind, well))
+            if step.kind == "expand" and well:
+                self.expanded.add((step.bank, step.version))
+            if not well or self.chance(0.1):
+                return end("unknown" if well else "failed", member)
+            self.later(self.latency(), lambda: seal(member, history))
+
+        def seal(member: Member, history: str) -> None:
+            begun = marker.written(step.step, step.version, False)
+            if not member.master or member.history != history or member.mark() != begun:
+                return end("unknown", member)
+            member.write(("seal", step.step, step.version, step.kind, True))
+            end("unknown" if self.chance(0.1) else "done", member)
+
+        self.later(self.random.randrange(12_000_000) if self.chance(0.1) else self.latency(), begin)
+
+    def ask_marker(self, node: Node, ask: f.AskMarker) -> None:
+        process = node.incarnation
+
+        def look() -> None:
+            one = self.reachable(self.banks[ask.bank])
+            told = (-1, "", -1) if self.chance(0.1) else (marker.shown(one.mark()), one.history, one.offset)
+            here = node.sequencer
+            self.to(node, self.latency(), lambda: here.marked(ask.ask, *told, node.lease_until, node.clock()), process)
+
+        self.later(self.latency(), look)
+
+    def request(self, node: Node) -> None:
+        known = node.layouts.served
+        word = f"app;layout={self.random.choice(known.versions)}" if known and self.random.random() < 0.7 else "app"
+        layout = node.layouts.layout(word, 0, node.clock())
+        if layout.back_us:
+            assert 0 < layout.back_us <= 1_500_000
+            self.seen["refused"] += 1
+            return
+        bank = self.banks[self.random.choice(BANKS)]
+        able = self.able(node, bank, layout.version)
+        if not able:
+            self.seen["none able"] += 1
+            return
+        member = self.random.choice(able)
+        version, epoch = layout.version, member.epoch
+        node.busy[version] += 1
+
+        def execute() -> None:
+            if member.epoch == epoch:
+                self.seen["served"] += 1
+                if version not in member.offers():
+                    raise Violation(f"version {version} by {node.name} at {member.name}: {member.offers()}")
+
+        def answered() -> list[f.Effect]:
+            node.busy[version] -= 1
+            return []
+
+        whole = int(self.deadline_us * (1 - DRIFT)) - STEP_US
+        wait = self.random.randrange(whole) if self.random.random() < 0.3 else self.random.randrange(50_000)
+        wait = whole if node.slow else wait
+        self.later(wait, execute)
+        self.to(node, wait + 1, answered)
+
+    def able(self, node: Node, bank: Bank, version: int) -> list[Member]:
+        mark = node.layouts.marker(bank.name, version)
+        return [one for one in bank.members if mark is None or applied(one.place(), mark)]
+
+    def judge_served(self) -> None:
+        versions = {
+            version
+            for node in self.nodes.values()
+            if node.up and node.layouts.served and node.clock() < node.layouts.served.until_us
+            for version in node.layouts.served.versions
+        }
+        if versions and max(versions) - min(versions) > 1:
+            raise Violation(f"versions {sorted(versions)} are served at once")
+
+    def judge_state(self, old: state.State | None, new: state.State | None) -> None:
+        assert new is not None
+        if old is not None and old.phase != new.phase:
+            self.seen[new.phase] += 1
+        if new.phase == "serving" and (old is None or old.phase != "serving"):
+            missing = [bank for bank in BANKS if (bank, new.new) not in self.expanded]
+            if missing:
+                raise Violation(f"version {new.new} is served before {missing} offer it")
+
+    def known(self) -> state.State:
+        value = self.registers.get("versions/state", (0, b""))[1]
+        found = state.decode(value) if value else state.first(1)
+        assert found is not None
+        return found
+
+    def propose(self, node: Node, stay_ms: int = 0, first: str = "") -> None:
+        base = self.known().old
+        shards = {
+            bank: {"expand": [["SET", bank, "1"]], "after": [first] if first not in ("", bank) else []}
+            for bank in BANKS
+        }
+        text = msgspec.json.encode({"version": base + 1, "base": base, "shards": shards, "stay_ms": stay_ms})
+        self.do(node, node.sequencer.propose(1, text, node.clock()))
+
+    def operate(self) -> None:
+        """A word of some operator, at some node."""
+        node = self.random.choice(list(self.nodes.values()))
+        if not node.runs:
+            return
+        word = self.random.random()
+        if word < 0.5 or self.known().phase == "idle":
+            first = self.random.choice(("", *BANKS))
+            self.propose(node, self.random.choice((0, 0, 2_000)), first)
+        elif word < 0.8:
+            self.do(node, node.sequencer.back(2, node.clock()))
+        else:
+            self.do(node, node.sequencer.resume(3, node.clock()))
+
+    def play(self, seconds: int = 40) -> None:
+        """A time of faults with operators at work, then none, until all is settled and well."""
+        while self.now < seconds * 1_000_000:
+            self.run(self.random.randrange(200_000, 3_000_000))
+            self.operate()
+        self.settle()
+
+    def settle(self) -> None:
+        """All faults end; some time later all must be settled and well."""
+        self.quiet = True
+        self.cuts.clear()
+        for node in self.nodes.values():
+            node.stopped_until, node.pinned = 0, False
+            if not node.up:
+                node.start()
+        for _ in range(60):
+            self.run(1_000_000)
+            if self.settled():
+                return
+        logs = [(bank.primary.place(), bank.primary.log) for bank in self.banks.values()]
+        raise Violation(f"not settled: {self.known()}, {logs}")
+
+    def until(self, phase: str) -> Node:
+        """Let time pass until the change is there; the node that sequences."""
+        for _ in range(2_000):
+            self.step()
+            if self.known().phase == phase:
+                return self.nodes[self.holder]
+        raise Violation(f"never {phase}: {self.known()}")
+
+    def settled(self) -> bool:
+        """Whether no change is on its way, and each version served is served by every bank's every member."""
+        known = self.known()
+        want = wanted(self.registers.get("versions/plan", (0, b""))[1])
+        waits = want is not None and want.word == "go" and want.plan is not None and want.plan.version == known.old + 1
+        if known.phase != "idle" or waits or not settled(known):
+            return False
+        whole = all(one.offers() == {known.old} for bank in self.banks.values() for one in bank.members)
+        return whole and all(
+            node.layouts.layout("app", 0, node.clock()).version == known.old
+            and all(len(self.able(node, bank, known.old)) == len(bank.members) for bank in self.banks.values())
+            for node in self.nodes.values()
+        )
+
+
+def by_chance(seed: int) -> None:
+    """Faults of all kinds, drawn."""
+    World(seed).play()
