--- a/oatlink/audit/capture.py
+++ b/oatlink/audit/capture.py
@@ -1,7 +1,7 @@
 """What crossed the sockets, with times, and the facts of the world that the judge needs. No I/O.
 
 A capture names a place (a client or a box), a connection there, a direction seen from that place, and bytes.
-Notices are what was done to the world at a time: a box started, the roster told of a drain.
+Notices are what was done to the world at a time: a box started, the roster told of a drain, a gateway killed.
 """
 
 from collections import defaultdict
@@ -33,19 +33,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Notice:
-    """A fact: `what` is started, stopped, draining, ready or gone."""
+    """A fact: `what` is started, stopped, draining, ready or gone; of a gateway killed, ending, halted or resumed."""
 
     at_us: int
-    box: str
+    box: str  # or the gateway
     what: str
 
 
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A command that a box's data have taken, at a primary or from its log; FLUSHALL: all was let go."""
+
+    at_us: int
+    box: str
+    args: list[bytes]
+
+
 @dataclass(slots=True)
 class Capture:
     """All traffic of one run."""
 
     chunks: dict[tuple[str, int], list[Chunk]] = field(default_factory=lambda: defaultdict(list))
     notices: list[Notice] = field(default_factory=list)
+    reached: dict[tuple[str, int], str] = field(default_factory=dict)  # the gateway at a client connection's other end
+    applied: list[Applied] = field(default_factory=list)  # of what a judge wants to know, not all
     bytes_kept: int = 0
 
     def add(self, at_us: int, place: str, connection: int, out: bool, data: bytes) -> None:
@@ -53,6 +64,14 @@
         self.chunks[place, connection].append(Chunk(at_us, out, data))
         self.bytes_kept += len(data)
 
+    def reach(self, place: str, connection: int, gateway: str) -> None:
+        """Keep which gateway a client's connection is to; only where that may be killed need it be known."""
+        self.reached[place, connection] = gateway
+
+    def apply(self, at_us: int, box: str, args: list[bytes]) -> None:
+        """Keep that a box has applied a command."""
+        self.applied.append(Applied(at_us, box, args))
+
     def notice(self, at_us: int, box: str, what: str) -> None:
         """Keep a fact."""
         self.notices.append(Notice(at_us, box, what))
--- a/oatlink/cli/main.py
+++ b/oatlink/cli/main.py
@@ -6,6 +6,7 @@
 import time
 
 import click
+import msgspec
 
 from oatlink import __version__
 from oatlink.cli.operators import check, explain_command, fail, read_recording, record, status
@@ -13,8 +14,12 @@
 from oatlink.gateway.links import DialError
 from oatlink.gateway.run import bind, on_signals, run, spoken
 from oatlink.lab.against import clients_of, drive
-from oatlink.lab.day import SCENARIOS, load_scenario, play
+from oatlink.lab.day import SCENARIOS, Report, load_scenario, play
 from oatlink.lab.embedded import Embedded
+from oatlink.lab.fleet.harness import play_fleet
+from oatlink.lab.fleet.report import FleetReport
+from oatlink.lab.fleet.scenarios import BUILT_IN as FLEET_SCENARIOS
+from oatlink.lab.fleet.scenarios import load_fleet_scenario
 from oatlink.settings import Settings, SettingsError, load, settings_hash
 
 
@@ -70,6 +75,14 @@
     nothing else.
     """
     settings = _settings(file)
+    if settings.fleet is not None:
+        from oatlink.fleet.shell.keys import FleetError, read_keys
+
+        try:
+            read_keys(settings.fleet.key_files)
+        except FleetError as problem:
+            fail(f"{file}: fleet.key_files: {problem}")
+            return
     try:
         sockets = bind(settings)
     except OSError as error:
@@ -125,30 +138,39 @@
     "--scenario",
     default="trouble",
     show_default=True,
-    help=f"A built-in one ({', '.join(SCENARIOS)}) or a Jsonnet file with the same fields.",
+    help=f"A built-in one ({', '.join([*SCENARIOS, *FLEET_SCENARIOS])}) or a Jsonnet file with the same fields.",
 )
 @click.option("--seed", default=1, show_default=True)
 @click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(2, 3600))
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on stdout.")
 @click.option("--record", default="", metavar="PATH", help="Record each gateway's engine to PATH.0, PATH.1 ...")
-def day(scenario: str, seed: int, seconds: float, as_json: bool, record: str) -> None:
+@click.option("--gateways", default=0, type=click.IntRange(0, 16), help="Gateway processes; 0: as the scenario says.")
+def day(scenario: str, seed: int, seconds: float, as_json: bool, record: str, gateways: int) -> None:
     """Play a planned day of trouble on loopback and judge the five rules from what crossed the sockets.
 
-    Exit 0: all rules kept. Exit 1: one was broken; the examples name the requests.
+    A day of the fleet (a scenario with a `judge`) is also judged by its own bounds. Exit 0: all rules and bounds kept.
+    Exit 1: one was broken; the examples name the requests.
     """
     try:
-        found = load_scenario(scenario)
+        fleet = load_fleet_scenario(scenario)
+        found = load_scenario(scenario) if fleet is None else None
     except SettingsError as error:
         fail(str(error))
         return
-    report = play(found, seed, seconds, record_to=record)
+    changes = {"gateways": gateways} if gateways else {}
+    report: Report | FleetReport
+    if fleet is not None:
+        report = play_fleet(msgspec.structs.replace(fleet, **changes), seed, seconds, record_to=record)
+    else:
+        assert found is not None
+        report = play(msgspec.structs.replace(found, **changes), seed, seconds, record_to=record)
     data = report.as_json()
     if as_json:
         click.echo(json.dumps(data))
     else:
         for name, value in data.items():
             click.echo(f"{name}: {json.dumps(value) if isinstance(value, dict | list) else value}")
-    sys.exit(0 if report.verdict.kept else 1)
+    sys.exit(0 if report.kept else 1)
 
 
 @main.command("replay")
--- a/oatlink/fleet/shell/node.py
+++ b/oatlink/fleet/shell/node.py
@@ -167,7 +167,10 @@
             return [("node", "off")]
         up = [one.name for one in self._fleet.nodes if self._transport.up(one.name)]
         links = [("links up", " ".join(up)), ("links", " ".join(f"{k}={v}" for k, v in sorted(self.counters.items())))]
-        return self._node.rows(now_us()) + links
+        rows = self._node.rows(now_us())
+        if self._silent:  # the node itself does not know of its file
+            rows = [(name, "silent: its file has failed" if name == "keeper" else text) for name, text in rows]
+        return rows + links
 
     # ---- Between node and sockets ----
 
--- a/oatlink/standins/box.py
+++ b/oatlink/standins/box.py
@@ -44,6 +44,8 @@
 )
 Tap = Callable[[str, int, str, bytes], None]
 """Told of every byte on a box's sockets: box, connection, `in` or `out`, data."""
+Applied = Callable[[str, list[bytes]], None]
+"""Told of every change that a box's data have taken, at once: box, command; FLUSHALL where all was let go to sync."""
 
 
 @dataclass(slots=True)
@@ -135,6 +137,7 @@
         self.work = work or Work()
         self.faults = Faults()
         self.tap = tap
+        self.applied: Applied | None = None
         self.store = Store(window_ms)
         self.port = 0
         self.offset = 0
@@ -310,10 +313,12 @@
             head = await stream.read_until(b"\r\n", max_bytes=64)
             payload = await stream.read_bytes(int(head[1:-2]))
             self.store.__init__(self.store.window_ms)  # type: ignore[misc]
+            self._took([[b"FLUSHALL"]])
             commands = CommandReader()
             commands.feed(payload)
             while (args := commands.take()) is not None:
                 self.store.execute(args, _ms())
+                self._took([args])
             self.replid, self.offset = line[1].decode(), int(line[2])
             self.replid2, self.second_offset = "", -1
             self.log = Log(self.offset)
@@ -365,6 +370,7 @@
     def _apply_one(self, args: list[bytes], size: int) -> None:
         if args[0] not in (b"REPLCONF", b"PING"):
             self.store.execute(args, _ms())
+            self._took([args])
         data = encode_command(args)
         assert len(data) == size
         self.offset += size
@@ -599,6 +605,7 @@
     def _run(self, peer: Peer, args: list[bytes]) -> bytes | None:
         reply, spread = self.store.execute(args, _ms(), peer.protocol)
         self.executed += 1
+        self._took(spread)
         if spread and self.faults.die_on_write:
             # Applied and counted, never shipped: the writes that nobody else has.
             self.faults.die_on_write = False
@@ -611,6 +618,11 @@
         self._propagate(spread)
         return reply
 
+    def _took(self, changes: list[list[bytes]]) -> None:
+        if self.applied is not None:
+            for args in changes:
+                self.applied(self.name, args)
+
     def _do_exec(self, peer: Peer, args: list[bytes]) -> bytes | None:
         queued, spoilt, watched = peer.queued, peer.spoilt, peer.watched
         peer.queued, peer.spoilt, peer.watched = None, False, {}
