Doubts and needed positions reach the Router; a cold member no longer divides by nothing

Need: a weighed verdict enters as evidence that the Router takes already, and reads of a version pass over replicas that have not applied its step.

Checked: the neighbours of 0 are below it and refuse, so 0 now refuses as they do.

Change: RosterEntry.doubt (a check at once where nothing newer was heard; twice the wait until its end or an answer), Arrival.needs_us, Positions.reached_us.

--- a/oatlink/core/gated.py
+++ b/oatlink/core/gated.py
@@ -60,6 +60,17 @@
         marker = self._gate.marker(self.settings.banks[state.box.bank].name, ask.version)
         return marker is None or self._applied(state, marker)
 
+    def _step_us(self, ask: Ask) -> int | None:
+        """The position, as a time, from which on a replica surely has applied the step that a version needs.
+
+        Where no sample shows it yet, only the primary is left: nothing is as recent as this instant.
+        """
+        marker = self._gate.marker(self.settings.banks[ask.group].name, ask.version)
+        if marker is None:
+            return None
+        found = self._groups[ask.group].positions.reached_us(marker.history, marker.offset)
+        return self._now if found is None else found
+
     def _applied(self, state: BoxState, marker: Marker) -> bool:
         report = state.report
         return report is not None and applied(
--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -54,6 +54,8 @@
             takes = "nothing: draining"
         elif believed.in_doubt:
             takes = "nothing for now: a check is overdue"
+        elif state.doubt[1] > self._now and state.heard_us < state.doubt[0]:
+            takes = "reads later in the turn: others saw it fail"
         elif believed.primary:
             takes = "writes and current reads"
         elif believed.role is Role.REPLICA:
--- a/oatlink/core/positions.py
+++ b/oatlink/core/positions.py
@@ -17,7 +17,7 @@
 below the join stay proof in the new one.
 """
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
 
 NEVER_US = -1
@@ -142,6 +142,25 @@
             seen += 1
         return best if best >= 0 else None
 
+    def reached_us(self, replid: str, offset: int) -> int | None:
+        """From which position on, as a time, whoever has it surely holds `offset` of a history; None: not known.
+
+        The proof is `time_of`'s, read from the other side: the first point at or past the offset.
+        """
+        history = self._histories.get(self._current or "")
+        if history is None:
+            return None
+        points = [history]
+        if history.replid != replid:
+            if history.parent != replid or offset >= history.join:
+                return None  # another history, or a part of it that the present one never had
+            points.insert(0, self._histories.get(replid, history))
+        for one in points:
+            at = bisect_left(one.offsets, offset)
+            if at < len(one.times):
+                return one.times[at]
+        return None
+
     def known(self, replid: str) -> bool:
         """Whether a primary of this history has ever been met."""
         return replid in self._histories
--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -166,7 +166,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request has come in. `since_write_us` is the carried age of its session's last write."""
+    """A request has come in. `since_write_us` is the carried age of its session's last write.
+
+    `needs_us`: no replica with an older position may take it, whatever its class allows.
+    """
 
     request: str
     class_name: str
@@ -175,6 +178,7 @@
     session: str | None = None
     since_write_us: int | None = None
     tenant: str | None = None
+    needs_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -11,7 +11,7 @@
     """Send a request, or hold it until its group can take it, or refuse it by chance."""
     rule, group = book.classes[event.class_name], roster.group_of(book, event.group)
     group.arrived += 1
-    need = _session_need(book, event) if rule.freshness is Freshness.SESSION else None
+    need = _session_need(book, event) if rule.freshness is Freshness.SESSION else event.needs_us
     need = book.now if rule.freshness is Freshness.LATEST else need
     request = Request(event.request, rule, event.group, book.now, book.now + event.expires_in_us,
                       event.session, need, rule.worth * _share_worth(book, event.tenant), group.arrived)
@@ -51,8 +51,8 @@
     if event.since_write_us is not None:
         return book.now - event.since_write_us
     if book.settings.router_remembers_sessions and event.session is not None:
-        return book.sessions.get(event.session, book.forgotten_us)
-    return None
+        return max(book.sessions.get(event.session, book.forgotten_us), event.needs_us or -1)
+    return event.needs_us
 
 
 def remember(book: Book, session: str, position_us: int) -> None:
--- a/oatlink/rules/cold.py
+++ b/oatlink/rules/cold.py
@@ -35,7 +35,7 @@
     own = book.tied * sum(not one.drained for one in group.members.values())
     if request is not None and request.tied:
         # Threat: all that has waited comes at once. It is spread over as long as it can have waited.
-        spread_us = settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us)
+        spread_us = settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us) or -1
         return request.draw * own <= part * min(1.0, (book.now - group.known_us) / spread_us)
     part -= own if group.primary == member.entry.member else 0.0
     token_rate = max(COLD_FLOOR / settings.peers / window_s, part * book.shown)
--- a/oatlink/rules/holding.py
+++ b/oatlink/rules/holding.py
@@ -10,7 +10,7 @@
 def need(book: Book, request: Request) -> int:
     """The position that a read must see."""
     if request.rule.freshness is api.Freshness.BOUNDED:
-        return book.now - request.rule.staleness_us
+        return max(book.now - request.rule.staleness_us, request.need_us or -1)
     return -1 if request.need_us is None else request.need_us
 
 
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -83,9 +83,8 @@
             and end.answer is not None and request.rule.freshness is Freshness.WRITE
             and end.answer.position_us is not None and end.outcome is Outcome.SERVED):
         arrivals.remember(book, request.session, end.answer.position_us)
-    for number, attempt in enumerate(request.attempts):
-        if attempt.out and book.settings.may_cancel:
-            book.do.append(Cancel(request.id, number))
+    if book.settings.may_cancel:
+        book.do += [Cancel(request.id, number) for number, one in enumerate(request.attempts) if one.out]
     holding.forget(book, request.id)
 
 
@@ -99,8 +98,6 @@
     # Threat: requests that fail everywhere. One error may be the member's, a second is the request's.
     error = end.outcome is Outcome.ERROR
     again, request.failed = request.failed and error, request.failed or error
-    if any(one.out for one in request.attempts):
-        return
-    if again or not sending.may_repeat(book, request):
-        return holding.give_up(book, request)
-    placing.place(book, request)
+    if not any(one.out for one in request.attempts):
+        over = again or not sending.may_repeat(book, request)
+        (holding.give_up if over else placing.place)(book, request)
--- a/oatlink/rules/reads.py
+++ b/oatlink/rules/reads.py
@@ -80,5 +80,6 @@
         base = answers.usual_us(book, book.groups[member.entry.group])
     if member.out:
         base = max(base, float(book.now - next(iter(member.out.values()))))
-    wait = base * (1 + len(member.out)) * (1 + min(member.refused, 2))
+    later = member.answered_us < member.entry.doubt[0] and book.now < member.entry.doubt[1]
+    wait = base * (1 + len(member.out) + later) * (1 + min(member.refused, 2))
     return wait if member.entry.zone == book.settings.zone else 1.25 * wait
--- a/oatlink/rules/roster.py
+++ b/oatlink/rules/roster.py
@@ -2,7 +2,7 @@
 
 from oatlink import interface as api
 from oatlink.book import NEVER, Book, Group, Holds, Member
-from oatlink.rules import primaries, terms
+from oatlink.rules import checks, primaries, terms
 
 CHECK_COST_US = 5_000  # what a check is taken to last before one has been answered
 START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
@@ -71,6 +71,8 @@
         primaries.lose(book, member)
     elif not book.settings.may_probe and member.role is api.Role.UNKNOWN:
         primaries.take_list_role(book, member)
+    elif entry.doubt[0] > max(0, member.heard_us):  # others saw it fail since it was heard of here
+        checks.check(book, member)
 
 
 def _leave(book: Book, member: Member | None) -> None:
