--- a/oatlink/fleet/parts/layouts.py
+++ b/oatlink/fleet/parts/layouts.py
@@ -1,15 +1,14 @@
 """Versions at one node: what it may serve, and the sequencer while its lease is here. No I/O.
 
-A sequencer whose node stops grants nothing more, and gives its lease back once all that it has granted must have
-ended: the next one counts on that (`versions.ledger`).
+A sequencer whose node stops grants nothing more and gives its lease back at once. What it granted lives on: the next
+one counts with that from its own beginning, which comes after (`versions.ledger`).
 """
 
 from oatlink.fleet import messages as f
 from oatlink.fleet.leases.holder import Holder
 from oatlink.fleet.limits.shards import rank
 from oatlink.fleet.versions.asking import Adopter
-from oatlink.fleet.versions.ledger import lasts
-from oatlink.fleet.versions.sequencer import VERSION_TERM_US, Sequencer
+from oatlink.fleet.versions.sequencer import Sequencer
 from oatlink.settings.fleet import Fleet, Versions
 
 LEASE_TERM_US = 3_000_000
@@ -36,21 +35,20 @@
         self._sequencer = Sequencer(fleet.node, banks, versions.first, fleet.drift, longest_deadline_us, seed)
         self._adopter = Adopter(fleet.node, incarnation)
         self._lease.looking = True
-        self._given_us = lasts(VERSION_TERM_US, fleet.drift) + 1  # what was granted has ended
-        self._release_us = f.NEVER_US
+        self._leaving = False
 
     @property
     def due_us(self) -> int:
         """When `tick` has something to do."""
-        if self._release_us != f.NEVER_US:
-            return self._release_us if self._lease.until_us else f.NEVER_US
+        if self._leaving:
+            return self._lease.due_us
         return min(self._lease.due_us, self._sequencer.due_us, self._adopter.due_us)
 
     def tick(self, busy: tuple[int, ...], now_us: int) -> list[f.Effect]:
         """Time has passed; `busy` are the versions that requests of this gateway are out for."""
+        if self._leaving:
+            return self._lease.tick(now_us)
         held = self._lease.holds(now_us)
-        if self._release_us != f.NEVER_US:
-            return self._lease.release(now_us) if held and now_us >= self._release_us else self._lease.tick(now_us)
         astray = not self._lease.seen or self._adopter.unanswered
         self._lease.wanting = held or astray
         self._lease.looking = not held and astray
@@ -104,11 +102,11 @@
         return self._sequencer.look(ticket, now_us)
 
     def leave(self, now_us: int) -> list[f.Effect]:
-        """Sequence no more; the lease goes back with a later `tick`."""
+        """Sequence no more, and give the lease back."""
+        self._leaving = True
         self._sequencer.ended()
-        self._lease.wanting = self._lease.looking = False
-        self._release_us = now_us + self._given_us
-        return []
+        self._lease.looking = False
+        return self._lease.release(now_us)
 
     def gone(self, now_us: int) -> bool:
         """Whether the lease is not here any more."""
@@ -124,12 +122,11 @@
         return "" if self._lease.seen == self._name else self._lease.seen
 
     def _until(self, now_us: int) -> int:
-        here = self._release_us == f.NEVER_US and self._lease.holds(now_us)
-        return self._lease.until_us if here else 0
+        return self._lease.until_us if self._lease.holds(now_us) else 0
 
     def _settle(self, now_us: int) -> None:
         """The sequencer works exactly while the lease is here; a new holding begins anew."""
-        if not self._lease.holds(now_us) or self._release_us != f.NEVER_US:
+        if not self._lease.holds(now_us):
             if self._sequencer.sequencing:
                 self._sequencer.ended()
         elif self._sequencer.sequencing != self._lease.fence:
--- a/oatlink/fleet/versions/asking.py
+++ b/oatlink/fleet/versions/asking.py
@@ -1,8 +1,9 @@
 """A node's side of the versions' terms: when to ask, and which answer counts. No I/O.
 
 The proof: a term is counted from before the question was sent, so it ends here before whoever granted it takes it for
-ended. An answer to an older question than one that was taken already changes nothing, nor does one by a lower fence
-than was seen: what was granted then may have been counted out since.
+ended. What was taken last is all that is served. An answer to an older question than one that was taken already, or to
+the same, changes nothing, nor does one by a lower fence than was seen: what was granted then may have been counted out
+since, by `heard` or by time.
 """
 
 from random import Random
@@ -11,7 +12,7 @@
 from oatlink.fleet.messages import Adopt, Adopted, Effect, NotSequencer, Tell, Tuned
 
 ASK_US = 300_000
-MOST_TERM_US = 60_000_000
+MOST_TERM_US = 60_000_000  # by far more than anyone grants (`sequencer.VERSION_TERM_US`)
 KEPT = 16  # questions of which the time is kept
 SILENT = 3  # questions without an answer
 
--- a/oatlink/fleet/versions/books.py
+++ b/oatlink/fleet/versions/books.py
@@ -63,6 +63,11 @@
         """Whether the state may be changed from what is known of it: no change of it is on its way."""
         return self.state is not None and not self._shelf.changing(STATE)
 
+    @property
+    def newborn(self) -> bool:
+        """Whether the state has been changed just once, ever."""
+        return self._shelf.fence(STATE) == 1
+
     @property
     def unsure(self) -> bool:
         """Whether a change of the state that was asked for before may still happen."""
--- a/oatlink/fleet/versions/errands.py
+++ b/oatlink/fleet/versions/errands.py
@@ -1,7 +1,9 @@
 """What is done at the banks, one errand at a time each: a step that is due, or a look at the marker. No I/O.
 
 Steps are retried with a seeded, growing wait, never passed over. The marker is looked at in turn with that: it is how
-a failover is found that lost a step, whatever else was or was not heard of it.
+a failover is found that lost a step, whatever else was or was not heard of it. What hangs at a primary that was failed
+over is not waited for: that it may still run is the marker's to catch, as after a time out. Where a bank did not
+answer a look and now does, what is due is tried at once: the growing wait is for steps that a server refuses.
 """
 
 from collections.abc import Callable
@@ -29,6 +31,7 @@
     tries: int = 0
     run_us: int = 0  # not before this time
     look_us: int = 0
+    silent: bool = False  # the last look at the marker came to nothing
 
 
 class Errands:
@@ -44,12 +47,12 @@
         self._banks.clear()
 
     def hurry(self, bank: str | None = None) -> None:
-        """Look at this bank's marker at once, or try what is due at all of them."""
+        """Another primary: look at this bank's marker at once. Without a bank: try what is due at all of them."""
         for name, errand in self._banks.items():
             if bank is None:
                 errand.run_us = errand.tries = 0
             elif bank == name:
-                errand.look_us = 0
+                errand.ask = errand.look_us = errand.run_us = errand.tries = 0
 
     def work(self, state: State, commands_of: CommandsOf, now_us: int) -> list[Effect]:
         """What is to be asked of the banks now."""
@@ -82,14 +85,21 @@
         return self._ask
 
     def ended(self, ask: int, done: bool, look: bool, now_us: int) -> tuple[str, int] | None:
-        """An errand has ended: its bank and step, None where it is not waited for. `look`: at the marker next."""
+        """An errand has ended: its bank and step, None where it is not waited for. `look`: at the marker next.
+
+        `done`: the step is done, or the marker was seen.
+        """
         for bank, errand in self._banks.items():
             if errand.ask != ask or not ask:
                 continue
             errand.ask = 0
-            if errand.step and done:
+            if not errand.step:
+                if done and errand.silent:
+                    errand.run_us = errand.tries = 0
+                errand.silent = not done
+            elif done:
                 errand.tries = 0
-            elif errand.step:
+            else:
                 wait_us = min(LONGEST_US, FIRST_US << min(errand.tries, 8))
                 errand.run_us = now_us + round(wait_us * (0.5 + self._random.random()))
                 errand.tries += 1
--- a/oatlink/fleet/versions/sequencer.py
+++ b/oatlink/fleet/versions/sequencer.py
@@ -11,7 +11,10 @@
   its fence there) before it does anything else: a late change of an earlier holder is refused from then on. So what a
   holder knows of the state is what the register holds, but for its own changes, until its lease ends.
 - A step runs only once its intention was read back from the register, and bears its number (`marker`).
-- A grant ends before the lease can, by the clock of whoever got it (`adopt`).
+- It grants only while it holds the lease (`adopt`). A grant may outlive the lease, so that the fleet serves on while
+  there is no sequencer: the next one takes no version for drained before all such grants have ended (`ledger`).
+- At most two neighbours are served, old grants included: a third version is served only after the contract or the undo
+  of one of the two, which only follows once that one is drained.
 - The plan that runs is a copy that only holders write, made anew before each beginning: an operator who overwrites
   the plan meanwhile, or a late copy of another, leaves the one that runs alone.
 """
@@ -24,13 +27,14 @@
 from oatlink.fleet.versions.books import Books
 from oatlink.fleet.versions.desk import Desk
 from oatlink.fleet.versions.errands import Errands
-from oatlink.fleet.versions.ledger import Ledger, lasts
+from oatlink.fleet.versions.ledger import Ledger
 from oatlink.fleet.versions.moves import begin, move, settled
 from oatlink.fleet.versions.plan import check, name_of
 from oatlink.fleet.versions.state import State
 
-VERSION_TERM_US = 1_000_000
-LEAST_TERM_US = 50_000
+VERSION_TERM_US = 8_000_000
+"""A fleet serves on for this long without a sequencer: longer than its lease and the taking of the next one last. No
+node may grant more than the others count on, so it is no setting."""
 TICK_US = 100_000
 
 
@@ -42,12 +46,19 @@
     """
 
     def __init__(
-        self, node: str, banks: tuple[str, ...], first_version: int, drift: float, longest_deadline_us: int, seed: int
+        self,
+        node: str,
+        banks: tuple[str, ...],
+        first_version: int,
+        drift: float,
+        longest_deadline_us: int,
+        seed: int,
+        term_us: int = VERSION_TERM_US,
     ) -> None:
         self.node = node
         self.desk = Desk(banks, first_version)
-        self.ledger = Ledger(drift, longest_deadline_us)
-        self._banks, self._drift = banks, drift
+        self.ledger = Ledger(drift, longest_deadline_us, term_us)
+        self._banks, self._term_us = banks, term_us
         self._books = Books(first_version)
         self._errands = Errands(seed)
         self._lease = 0  # its fence; 0 without one
@@ -128,8 +139,9 @@
         self, ask: int, number: int, history: str, offset: int, lease_until_us: int, now_us: int
     ) -> list[Effect]:
         """An `AskMarker` has ended; `number` is -1 where nothing is known."""
-        found = self._errands.ended(ask, True, False, now_us)
-        if found is not None and number >= 0 and history and offset >= 0:
+        seen = number >= 0 and history != "" and offset >= 0
+        found = self._errands.ended(ask, seen, False, now_us)
+        if found is not None and seen:
             self._shown[found[0]] = number, history, offset
         return self._go(lease_until_us, now_us)
 
@@ -139,16 +151,15 @@
         return self._go(lease_until_us, now_us)
 
     def adopt(self, sender: str, message: Adopt, lease_until_us: int, now_us: int) -> list[Effect]:
-        """A node asks what it may serve. What it is told ends, by its clock, before the lease does by ours."""
+        """A node asks what it may serve. It is told so for a whole term, which may end after the lease does."""
         state = self._claimed(lease_until_us, now_us)
-        term_us = min(VERSION_TERM_US, int((lease_until_us - now_us - 2) / lasts(1_000_000, self._drift) * 1_000_000))
-        if state is None or term_us < LEAST_TERM_US:
+        if state is None:
             return [Tell(sender, NotSequencer(message.ask))]
         self.ledger.heard(sender, message.since, message.heard, message.busy, now_us)
-        if not self.ledger.gave(sender, message.since, message.ask, state.served, term_us, now_us):
+        if not self.ledger.gave(sender, message.since, message.ask, state.served, self._term_us, now_us):
             return [Tell(sender, NotSequencer(message.ask)), *self._note_now("too many nodes", "no room in the ledger")]
         offers = tuple(states.offer(state, bank) for bank in state.shards)
-        told = Adopted(message.ask, self._lease, term_us, state.served, state.default, offers)
+        told = Adopted(message.ask, self._lease, self._term_us, state.served, state.default, offers)
         return [Tell(sender, told)]
 
     def _claimed(self, lease_until_us: int, now_us: int) -> State | None:
@@ -167,6 +178,8 @@
         if state is not None and self._books.writable and state.fence < self._lease:
             out += self._books.write(replace(state, fence=self._lease), now_us)
         elif state is not None and state.fence == self._lease:
+            if self._books.newborn:
+                self.ledger.first()
             if self._books.writable:
                 out += self._take_on(state, now_us)
             out += self._errands.work(state, self._books.commands, now_us)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,37 @@
 hypothesis.settings.register_profile("steady", deadline=None, derandomize=True)
 hypothesis.settings.load_profile("steady")
 
+# Tests that play processes and sockets against the clock: one after the other, beside what only computes.
+PROCESSES = frozenset(
+    f"tests.{name}"
+    for name in (
+        "test_day",
+        "test_full_path",
+        "test_lateness",
+        "test_links",
+        "test_native",  # compiles on all cores
+        "test_operators",
+        "test_paths",
+        "test_platform_sockets",
+        "test_recording",
+        "test_reload",
+        "test_standins",
+    )
+)
+
+
+FLEETS = frozenset(f"tests.fleet.{name}" for name in ("test_days", "test_life", "test_life_guards", "test_transport"))
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Keep what must not run beside its like in one worker, and a module's other tests together."""
+    for item in items:
+        name = item.nodeid.partition(".py")[0].replace("/", ".")
+        group = "processes" if name in PROCESSES else "fleets" if name in FLEETS else name
+        item.add_marker(pytest.mark.xdist_group(group))
+
+
 VIEW = api.RequestClass(
     "view", api.Freshness.BOUNDED, api.Effect.IDEMPOTENT, 600_000, 2_000_000, 2.0, staleness_us=500_000
 )
