--- a/oatlink/core/ways.py
+++ b/oatlink/core/ways.py
@@ -87,6 +87,12 @@
         if dial and self._dialling >= MOST_DIALS:
             self._dials_wait.append((name, dial))
             return
+        # Threat: a box that returns, dialled by all gateways of a fleet at once. Who waits for a connection waits on.
+        back_us = self._gate.dial(name, self._now) if dial else 0
+        if back_us:
+            self._look_at(self._now + back_us, name, dial)
+            self._out.append(m.Seek())
+            return
         for address in state.paths.begin(race, self._now):
             if dial == REPORT:
                 self._out.append(m.Probe(name, address))
--- a/oatlink/fleet/gating.py
+++ b/oatlink/fleet/gating.py
@@ -16,6 +16,7 @@
 
 TENANT = "tenant/"
 DIALS = "dials/"
+DIAL_AGAIN_US = 20_000  # while a grant is asked for
 
 
 def allowances_of(fleet: Fleet, members: Iterable[str]) -> dict[str, Allowance]:
@@ -65,7 +66,8 @@
 
     def dial(self, member: str, now_us: int) -> int:
         """See `Gate.dial`."""
-        return max(ADMITTED, self._allowances.admit(DIALS + member, 1, now_us)) if self._dials else ADMITTED
+        back_us = self._allowances.admit(DIALS + member, 1, now_us) if self._dials else ADMITTED
+        return back_us if back_us >= 0 else DIAL_AGAIN_US
 
     def hear(self, news: AnyNews, now_us: int) -> bool:
         """See `Gate.hear`."""
--- a/oatlink/fleet/parts/verdicts.py
+++ b/oatlink/fleet/parts/verdicts.py
@@ -4,6 +4,7 @@
 
 from oatlink.fleet import messages as f
 from oatlink.fleet.membership.view import View
+from oatlink.fleet.verdicts.evidence import CLEARS, KINDS, LATER
 from oatlink.fleet.verdicts.spread import Spread
 from oatlink.fleet.verdicts.weigh import Weigher
 from oatlink.settings.fleet import Fleet
@@ -32,7 +33,8 @@
 
     def saw(self, member: str, kind: str, history: str, offset: int, now_us: int) -> list[f.Effect]:
         """Own evidence on a member."""
-        if kind != "position":
+        # Threat: a claim or a position in the place of an answer of just before, and two false words count again.
+        if kind in KINDS and KINDS[kind].may in (CLEARS, LATER):
             self._own[member] = kind, now_us
         self._spread.saw(member, kind, now_us, history, offset)
         return self._spread.tick(now_us) if now_us >= self._spread.due_us else []
--- a/tests/fleet/test_gated.py
+++ b/tests/fleet/test_gated.py
@@ -193,6 +193,26 @@
     assert not one.sent and one.answers[1][0].startswith(b"-LAYOUT 1")
 
 
+# ---- Dials ----
+
+
+def test_dials_to_a_box_beyond_the_fleets_rate_wait_and_none_is_lost() -> None:
+    part = PART % "members: { dials_per_s: 20, dials_burst: 10, floor: 0.4 }"
+    one = rig(load_text(f"{TEMPLATE} + {part}", "test"), "x")
+    one.pass_us(1_000_000)
+    for number in range(1, 9):
+        one.give(m.Wanted("p", number))
+    dials = [effect for effect in one.other if isinstance(effect, m.Dial)]
+    assert not dials and seeks(one)  # nothing was asked before, so the floor's bucket was not there to fill
+    one.pass_us(1_000_000)
+    dials = [effect.dial for effect in one.other if isinstance(effect, m.Dial)]
+    assert 2 <= len(dials) <= 5  # the node's floor: 4 a second
+    one.give(m.Told(Granted("dials/p", 1, 12.0, 6.0, one.now + 60_000_000)))
+    one.pass_us(6_000_000)
+    dials = [effect.dial for effect in one.other if isinstance(effect, m.Dial)]
+    assert sorted(dials) == list(range(1, 9))
+
+
 # ---- Off is off ----
 
 QUIET = """
