--- a/oatlink/gateway/run.py
+++ b/oatlink/gateway/run.py
@@ -15,9 +15,10 @@
 from oatlink.core import messages as m
 from oatlink.core.reload import changes, objections
 from oatlink.discovery.file import RosterFile, follow
+from oatlink.gateway.listeners import boxes_of, listen
 from oatlink.gateway.metrics import serve
 from oatlink.gateway.notes import Notes
-from oatlink.gateway.server import Gateway, boxes_of, listen
+from oatlink.gateway.server import Gateway
 from oatlink.native import code
 from oatlink.settings import Settings, SettingsError, load
 
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -9,13 +9,14 @@
 
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import StreamBufferFullError, StreamClosedError
-from tornado.netutil import add_accept_handler, bind_sockets, bind_unix_socket
+from tornado.netutil import add_accept_handler
 
 from oatlink.core import messages as m
 from oatlink.core.snapshot import take
 from oatlink.core.ways import ways_of
 from oatlink.gateway.clock import Marks, Stream, now_us, slept_us
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
+from oatlink.gateway.listeners import boxes_of
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
 from oatlink.gateway.recorder import Tape, start_engine, write_snapshot
@@ -23,33 +24,6 @@
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 
-
-def boxes_of(settings: Settings) -> tuple[m.Box, ...]:
-    """The roster that the settings name."""
-    return tuple(
-        m.Box(
-            one.name,
-            number,
-            one.address,
-            one.hall,
-            one.kind,
-            one.state,
-            one.primary,
-            tuple(m.Way(way.address, way.hall, way.connect_timeout_ms, way.keepalive_s) for way in one.paths),
-        )
-        for number, bank in enumerate(settings.banks)
-        for one in bank.members
-    )
-
-
-def listen(address: str, reuse_port: bool = False) -> list[socket.socket]:
-    """Bound sockets for host:port (port 0: any free one) or unix:PATH. Raises `OSError`."""
-    if address.startswith("unix:"):
-        return [bind_unix_socket(address[5:], mode=0o600)]
-    host, _, port = address.rpartition(":")
-    return bind_sockets(int(port), host.strip("[]"), backlog=1024, reuse_port=reuse_port)
-
-
 COMMANDS_A_TURN = 64  # of one client
 SLEPT_US = 10_000  # less than that is how exactly two clocks are read
 
--- a/tests/fleet/test_gated.py
+++ b/tests/fleet/test_gated.py
@@ -202,15 +202,16 @@
     one.pass_us(1_000_000)
     for number in range(1, 9):
         one.give(m.Wanted("p", number))
-    dials = [effect for effect in one.other if isinstance(effect, m.Dial)]
-    assert not dials and seeks(one)  # nothing was asked before, so the floor's bucket was not there to fill
+
+    def dialled() -> list[int]:
+        return [effect.dial for effect in one.other if isinstance(effect, m.Dial)]
+
+    assert not dialled() and seeks(one)  # nothing was asked before, so the floor's bucket was not there to fill
     one.pass_us(1_000_000)
-    dials = [effect.dial for effect in one.other if isinstance(effect, m.Dial)]
-    assert 2 <= len(dials) <= 5  # the node's floor: 4 a second
+    assert 2 <= len(dialled()) <= 5  # the node's floor: 4 a second
     one.give(m.Told(Granted("dials/p", 1, 12.0, 6.0, one.now + 60_000_000)))
     one.pass_us(6_000_000)
-    dials = [effect.dial for effect in one.other if isinstance(effect, m.Dial)]
-    assert sorted(dials) == list(range(1, 9))
+    assert sorted(dialled()) == list(range(1, 9))
 
 
 # ---- Off is off ----
@@ -222,7 +223,8 @@
 settings = load_text(sys.argv[1], 'test')
 server.Gateway(settings)
 loaded = [one for one in sys.modules if one.startswith('oatlink.fleet')]
-assert not [one for one in loaded if '.shell' in one or '.limits' in one or '.registers' in one], loaded
+parts = ('shell', 'limits', 'registers', 'leases', 'verdicts', 'membership', 'gating', 'node')
+assert not [one for one in loaded if one.startswith(tuple(f'oatlink.fleet.{part}' for part in parts))], loaded
 print('quiet')
 """
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from oatlink.gateway.server import Gateway, listen
+from oatlink.gateway.listeners import listen
+from oatlink.gateway.server import Gateway
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.settings import Settings
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -15,7 +15,8 @@
 from oatlink.core import messages as m
 from oatlink.core.explain import explain, told
 from oatlink.core.recording import Recording, replay
-from oatlink.gateway.server import Gateway, listen
+from oatlink.gateway.listeners import listen
+from oatlink.gateway.server import Gateway
 from oatlink.lab.day import Report
 from oatlink.lab.embedded import Embedded, port_of, reserve
 from oatlink.protocols import resp
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -11,7 +11,8 @@
 import pytest
 import redis
 
-from oatlink.gateway.server import Gateway, listen
+from oatlink.gateway.listeners import listen
+from oatlink.gateway.server import Gateway
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.standins.box import Box
