--- a/oatlink/fleet/shell/node.py
+++ b/oatlink/fleet/shell/node.py
@@ -112,7 +112,7 @@
                 await asyncio.sleep(0.02)
                 self._do(self._node.tick((), (), now_us()))
             await asyncio.sleep(0.05)  # the last round trip of a release
-            self._node, _ = None, self._node
+            self._node = None
         for task in self._errands:
             task.cancel()
         if self._keeping is not None:
