A connection ends in named states; a request is committed at its write, looked at again there

Cause, found by reading: `Client.end` closed at once after its last write, over whatever had come meanwhile: a reset, which takes the answer with it (`clients.py`, `end`, `close`). A connection past the bound was closed with no answer. A request that waited for a connection was written when one came up, whatever had happened since: client gone (only `Departure` was told), server draining, gone, moved or started anew, repeat window over (`Pool._give` asked nothing). A client with more than a query's worth of bytes unread was not seen to leave. An idle client with an answer still being written counted as idle. After SIGHUP dial and idle times, `MaxOpen`, `dropped_stay_open`, the asking interval and tenants' shares stayed as they were. A signal before the handlers were there killed the process.

Change: `oatlink/transport/` holds the one state machine of a connection's end (no I/O) and its shell: flush, shutdown, read and discard, close; clients and servers use it. `Router.may_write` looks again at what an attempt was sent by, at the moment of its write and when the list has spoken of its server; what may not is WITHDRAWN, at no cost. Departed clients' unwritten attempts are taken back at once. Turned-away connections get a refusal; those that end have descriptors of their own. At an orderly end new requests on a draining connection are refused at once. SIGHUP applies all settings. `clients`, `servers` are packages of small modules; `beliefs.py` (for people) is out of `rules/`.

--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oatlink import interface as api
+from oatlink.beliefs import belief as belief_of
 from oatlink.core import messages as m
 from oatlink.core import outcomes
 from oatlink.core.reports import BoxReport, parse_info
@@ -67,7 +68,7 @@
             self._route(api.Roster(api.RosterKind.CHANGES, (self._entry(state),)))
 
     def _is_primary(self, state: BoxState) -> bool:
-        belief = self.router.belief(state.member)
+        belief = belief_of(self.router, state.member)
         return belief is not None and belief.primary
 
     def _on_inspected(self, given: m.AnyInput) -> None:
--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from oatlink.beliefs import belief as belief_of
 from oatlink.core import messages as m
 from oatlink.core.commands import find
 from oatlink.core.local import server_section
@@ -47,7 +48,7 @@
 
     def _verdict(self, state: BoxState) -> Verdict:
         report = state.report or BoxReport()
-        believed = self.router.belief(state.member)
+        believed = belief_of(self.router, state.member)
         at = self._report(state, state.asked_us)
         age = -1 if at is None or at.position_us is None else (self._now - at.position_us) // 1_000
         if believed is None or state.box.state != "ready":
--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import time
 from collections import deque
@@ -122,6 +123,14 @@
             pass
         return False
 
+    def peer_has_ended(self) -> bool:
+        """Whether the peer has shut its side or reset the connection, also behind bytes that nobody has read yet."""
+        if self.closed():
+            return True
+        poll = select.poll()
+        poll.register(self.fileno(), getattr(select, "POLLRDHUP", 0))
+        return bool(poll.poll(0))
+
     def write_to_fd(self, data: memoryview) -> int:
         """See `BaseIOStream.write_to_fd`."""
         taken = super().write_to_fd(data)
--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -36,12 +36,14 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
+    WITHDRAWN = "withdrawn"  # taken back before its first byte: what it was sent by held no more
     MISS = "miss"
 
     @property
     def may_have_run(self) -> bool:
         """Whether the attempt might have had its effect."""
-        return self not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.MISS)
+        never = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.WITHDRAWN, Outcome.MISS)
+        return self not in never
 
 
 class Role(Enum):
--- a/oatlink/platform/__main__.py
+++ b/oatlink/platform/__main__.py
@@ -3,13 +3,15 @@
 import asyncio
 import gc
 import logging
+import signal
 import socket
 import sys
 
 import uvloop
 
 from oatlink.platform.config import Config, ConfigError, read
-from oatlink.platform.gateway import Gateway, Lines
+from oatlink.platform.gateway import SIGNALS, Gateway
+from oatlink.platform.lines import Lines
 
 BACKLOG = 512
 
@@ -37,6 +39,8 @@
     handler.addFilter(Lines())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     logging.getLogger("tornado").setLevel(logging.ERROR)
+    # Threat: a signal that comes before there is anyone to take it would kill the process. It waits for the gateway.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         config = read()
         sock = bound(config)
--- /dev/null
+++ b/oatlink/platform/clients/connection.py
@@ -0,0 +1,276 @@
+"""One client connection: startup, one query after the other, each answered once and in order.
+
+A shell: what a query asks for is read by `statement`, what it is answered is told by its `Asker`, how it ends by
+`transport.ending`. A peer's mistake is answered once with an error or a close, costs nobody else anything and holds
+bounded memory.
+"""
+
+import asyncio
+from typing import Protocol
+
+from tornado.iostream import StreamBufferFullError, StreamClosedError
+
+from oatlink.gateway.clock import Stream, now_us
+from oatlink.platform.clients import answers
+from oatlink.platform.requests import Final
+from oatlink.platform.statement import QUERY_BYTES
+from oatlink.protocols import pgwire as pg
+from oatlink.protocols.buffer import Limits, ProtocolError
+from oatlink.transport.closing import State
+from oatlink.transport.ending import Ending
+
+CHUNK = 16_384  # bytes read at once
+SILENT_US = 2_500_000  # a connection that has asked nothing so long after it came is closed
+HALF_US = 2_000_000  # so long may a message be under way, either way
+DRAIN_US = 300_000  # so long what is there in part when the connection drains may take to come whole
+MOST_MISTAKES = 4  # statements that cannot be read, of one connection; then it is closed
+PAUSE_S = 0.05  # after a mistake, times their count: the same again at once takes no turn of others
+LIMITS = Limits(message_bytes=QUERY_BYTES)
+PLAIN = frozenset((b"SET", b"RESET", b"DISCARD"))  # answered here: nothing of a connection is kept
+
+
+class Asker(Protocol):
+    """Where queries go."""
+
+    def ask(self, client: "Client", text: bytes, came_us: int) -> bytes | None:
+        """Take a query. None where it is open now, else its answer at once. Raises nothing."""
+        ...
+
+    def left(self, client: "Client") -> None:
+        """The client has gone, or has been sent away, its query still open."""
+        ...
+
+
+class Home(Protocol):
+    """Where connections are kept."""
+
+    def gone(self, client: "Client") -> None:
+        """A connection has closed."""
+        ...
+
+
+class Client:
+    """One client connection, from its accept to its end."""
+
+    def __init__(self, stream: Stream, asker: Asker, home: Home) -> None:
+        self.stream, self._asker, self._home = stream, asker, home
+        self.ending = Ending(stream, self._is_owed, self._closed)
+        self._reader = pg.frontend_reader(LIMITS)
+        self._started = False
+        self.asked = False  # a request has come
+        self.waits = False  # a query is open
+        self.born_us = self.free_us = now_us()
+        self._half_us = 0  # since when a message is under way
+        self._unsent_us = 0  # since when an answer lies here that is not taken
+        self._drained_us = 0  # since when no new request is taken
+        self._mistakes = 0
+        self._paused = False
+        self._skips = False  # after a mistake in the extended protocol, until Sync
+        self._blocked = False  # as much as may be has been read behind an open query
+        self._room = asyncio.Event()
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing of it is left."""
+        return self.ending.state is State.CLOSED
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether our side has been shut down, or all that is left to send is its last answer."""
+        return self.ending.discards
+
+    async def run(self) -> None:
+        """Read until the connection ends, also what is thrown away after our side has been shut down."""
+        try:
+            while True:
+                # While a query is open the next bytes are read, to notice a close: one message of them at most.
+                while self._reader.pending > QUERY_BYTES and self._is_busy():
+                    self._blocked = True
+                    self._room.clear()
+                    await self._room.wait()
+                self._blocked = False
+                data = await self.stream.read_bytes(CHUNK, partial=True)
+                if self.ending.discards:
+                    self.ending.discard(len(data))
+                else:
+                    self._reader.feed(data)
+                    self.step()
+        except StreamClosedError:
+            pass
+        finally:
+            self.close()
+
+    def _is_busy(self) -> bool:
+        """Whether the next message has to wait."""
+        return not self.ending.discards and (self.waits or self._paused or self.stream.writing())
+
+    def _is_owed(self) -> bool:
+        """Whether something is still to be answered: a query, or one that is here in part or may be."""
+        if self.ending.discards:
+            return False
+        return self.waits or self._paused or self._reader.pending > 0 or not self.stream.at_rest()
+
+    def step(self) -> None:
+        """Take the messages that are here, up to a query that is open.
+
+        Threat: a client that takes none of its answers. Its next query waits until the last one is handed over.
+        """
+        try:
+            while not (self._is_busy() or self.ending.discards):
+                message = self._reader.take()
+                if message is None:
+                    break
+                self._half_us = 0
+                self._take(message)
+        except ProtocolError as problem:
+            self.end(pg.refusal(problem).encode())
+        if self._reader.pending and not self._is_busy():
+            self._half_us = self._half_us or now_us()
+        self._room.set()
+        if not self.ending.may_take:
+            self.ending.settle()
+
+    def _take(self, message: pg.Message) -> None:
+        if not self._started:
+            self._start(message)
+        elif message.kind == b"X":
+            self.end(b"")
+        elif message.kind == b"Q":
+            if not self._skips:
+                self._query(pg.query_text(message))
+        elif message.kind == b"S":
+            self._skips = False
+            self.write(answers.READY)
+        elif not self._skips:
+            self._skips = message.kind != b"F"
+            self._mistaken(
+                pg.make_error("0A000", "expected simple queries only").encode()
+                + (answers.READY if message.kind == b"F" else b"")
+            )
+
+    def _start(self, message: pg.Message) -> None:
+        match pg.startup(message):
+            case pg.Startup():
+                self._started = True
+                self._reader.started()
+                self.write(answers.GREETING)
+            case pg.Cancel():
+                self.end(b"")
+            case _:
+                self.write(answers.NO_SSL)
+
+    def _query(self, text: bytes) -> None:
+        words = text.split(None, 1)
+        if not words or not text.strip(b"; \t\r\n"):
+            self.write(answers.EMPTY)  # which asks nothing: a flood may say so much
+        elif words[0].upper() in PLAIN:
+            self.write(pg.make_complete(words[0].upper()).encode() + answers.READY)
+        elif not self.ending.may_take:
+            self.write(answers.refusal(0))  # nothing new is taken on a connection that ends; another takes it at once
+        elif self._blocked and self.stream.peer_has_ended():
+            self.close()  # what it sent before it went must not be sent on
+        else:
+            # Time runs from the last byte; behind an open query it runs from that one's answer.
+            answer = self._asker.ask(self, text, max(self.stream.ready_us, self.free_us))
+            if answer is None:
+                self.asked = True
+            else:
+                self._mistaken(answer)
+
+    def _mistaken(self, answer: bytes) -> None:
+        """Threat: the same again as soon as it is answered, at full speed. It waits, longer each time, then ends."""
+        self._mistakes += 1
+        if self._mistakes >= MOST_MISTAKES:
+            self.end(answer)
+            return
+        self.write(answer)
+        self._paused = True
+        asyncio.get_running_loop().call_later(PAUSE_S * self._mistakes, self._go_on)
+
+    def _go_on(self) -> None:
+        self._paused = False
+        self.step()
+
+    def answered(self, final: Final) -> None:
+        """The open query's final answer."""
+        data = answers.FAILED
+        if final.payload:
+            data = final.payload + answers.READY
+        elif final.refused:
+            data = answers.refusal(final.retry_after_us)
+        self.waits = False
+        self.free_us = now_us()
+        self.write(data)
+        if not self.closed:
+            # What waits behind is seen to in a turn of its own: an answer may set off the next, and so on.
+            asyncio.get_running_loop().call_soon(self.step)
+
+    def write(self, data: bytes) -> None:
+        """Write; a client that takes nothing is let go."""
+        if self.closed:
+            return
+        try:
+            written = self.stream.write(data)
+        except (StreamClosedError, StreamBufferFullError):
+            self.close()
+            return
+        if self.stream.writing():
+            self._unsent_us = self._unsent_us or now_us()
+            written.add_done_callback(self._written)
+
+    def _written(self, written: "asyncio.Future[None]") -> None:
+        """The bytes are handed over, or the stream has closed."""
+        if not written.cancelled() and written.exception() is None and not self.stream.writing():
+            self._unsent_us = 0
+            self.step()
+
+    def end(self, data: bytes) -> None:
+        """A last answer, then the end; what the client still sends is thrown away."""
+        if self.ending.discards:
+            return
+        if data:
+            self.write(data)
+        self.ending.drain(is_deaf=True)
+        self._room.set()
+
+    def drain(self) -> None:
+        """Take no new request, and end once what is here has been answered."""
+        self._drained_us = self._drained_us or now_us()
+        self.ending.drain()
+
+    def close(self) -> None:
+        """Close at once. Idempotent; an open query is told as left."""
+        self.ending.close()
+
+    def _closed(self) -> None:
+        self._room.set()
+        if self.waits:
+            self.waits = False
+            self._asker.left(self)
+        self._home.gone(self)
+
+    def idle_since_us(self) -> int | None:
+        """Since when nothing is open here and nothing under way; None while something is, or the connection ends."""
+        if not self.ending.may_take or self._reader.pending or self._is_busy() or not self.stream.at_rest():
+            return None
+        return self.free_us
+
+    def sweep(self, at_us: int) -> None:
+        """End it where it has had its time: nothing asked since it came, or half a message that does not go on.
+
+        Threat: a client that has gone is not noticed while more than is read lies before its end; one that takes
+        nothing holds its answer in memory; one that asks without a pause would never let a gateway end.
+        """
+        if self.waits or self._paused:
+            if self._blocked and self.stream.peer_has_ended():
+                self.close()
+        elif self._unsent_us and at_us - self._unsent_us > HALF_US:
+            self.close()
+        elif (not self.asked and at_us - self.born_us > SILENT_US) or (
+            self._half_us > 0 and at_us - self._half_us > HALF_US
+        ):
+            self.end(answers.TOO_SLOW)
+        elif self._drained_us and at_us - max(self._drained_us, self.free_us) > DRAIN_US:
+            self.end(b"")
+        elif not self.ending.may_take:
+            self.ending.settle()
--- a/oatlink/platform/discovery.py
+++ b/oatlink/platform/discovery.py
@@ -129,6 +129,10 @@
         self._fetch: asyncio.Task[None] | None = None
         self._moves = 0
 
+    def wait(self, wait_s: float) -> None:
+        """A watch waits so long from its next call on."""
+        self._wait_s = wait_s
+
     def follow(self) -> None:
         """Watch from now on, unless that is under way."""
         if self._watch is None or self._watch.done():
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -10,9 +10,10 @@
 import socket
 import time
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import replace
 
 from oatlink import interface as api
+from oatlink.beliefs import belief as belief_of
 from oatlink.gateway.clock import Marks, now_us
 from oatlink.interface import Outcome, Report, RosterKind
 from oatlink.platform import discovery as disco
@@ -20,78 +21,22 @@
 from oatlink.platform.clients import Client, Clients, error, refusal
 from oatlink.platform.config import Config, ConfigError, read
 from oatlink.platform.discovery import Discovery, News
+from oatlink.platform.jobs import Checking, Sent
 from oatlink.platform.reply import Answer, load_report
-from oatlink.platform.servers import CHECK, Bounds, Pool, Servers
+from oatlink.platform.servers import Bounds, Servers
 from oatlink.platform.statement import StatementError, parse
-from oatlink.protocols import pgwire as pg
 from oatlink.rules import Router
 
 LOG = logging.getLogger("oatlink.platform")
-LINES_PER_S = 50
 SWEEP_S = 0.1
 STATE_S = 10  # between lines that say what this gateway holds and believes
 RESERVE = 24  # descriptors for the log, the loop, the listener, signals and discovery's calls
 SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
 GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 RELOAD_S = (0.1, 0.3, 1.0, 3.0)  # a file that cannot be read is looked at again
 
 
-class Lines(logging.Filter):
-    """Threat: a fault that says the same thousands of times a second. What is left out is counted."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._second = self._written = self._left_out = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        """Whether this second's share holds one more line."""
-        second = int(record.created)
-        if second != self._second:
-            if self._left_out:
-                record.msg = f"{record.getMessage()} ({self._left_out} lines left out before)"
-                record.args = ()
-            self._second, self._written, self._left_out = second, 0, 0
-        self._written += 1
-        self._left_out += self._written > LINES_PER_S
-        return self._written <= LINES_PER_S
-
-
-@dataclass(slots=True, eq=False)
-class Sent:
-    """An attempt on its way."""
-
-    gateway: "Gateway"
-    attempt: req.Attempt
-    pool: Pool | None
-
-    def bytes_now(self) -> bytes:
-        """The statement as a query."""
-        return pg.make_query(self.attempt.payload(now_us())).encode()
-
-    def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
-        """See `Job`."""
-        self.gateway.attempt_ended(self, outcome, at_us, answer)
-
-
-@dataclass(slots=True, eq=False)
-class Checking:
-    """A check on its way."""
-
-    gateway: "Gateway"
-    member: int
-    pool: Pool | None
-    since_us: int
-    done: bool = False
-
-    def bytes_now(self) -> bytes:
-        """The platform's question for a load report."""
-        return CHECK
-
-    def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
-        """See `Job`."""
-        self.gateway.check_ended(self, outcome, at_us, answer)
-
-
 class Gateway:
     """One gateway, from its configuration to its end."""
 
@@ -118,8 +63,7 @@
         most_servers = round(spare * SERVERS_PART)
         self._servers = Servers(Bounds(config.dial_s, config.idle_s, most_servers), self._marks, self.note, self._keep)
         self._clients = Clients(sock, spare - most_servers, self, self._marks, self._keep, self.note)
-        # A watch waits so long that its silent break is noticed well before its news counts as told.
-        self._discovery = Discovery(config.discovery, config.settings.ask_within_us / 4e6, self._told, self.note)
+        self._discovery = Discovery(config.discovery, self._watch_s(), self._told, self.note)
         self._ended = asyncio.Event()
         self._reloading: asyncio.Task[None] | None = None
         self._answers: Counter[str] = Counter()  # since the last line of state
@@ -133,6 +77,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for one in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(one, self._stop)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         self._know()
         self._do(self._requests.handle(api.Start(), now_us()))
         self._clients.listen()
@@ -187,7 +132,7 @@
         took_ms, self._answers_us = self._answers_us / max(1, ended["served"]) / 1000, 0
         members = []
         for number in self._entries:
-            belief = self._router.belief(number)
+            belief = belief_of(self._router, number)
             if belief is not None:
                 role = "P" if belief.primary else belief.role.value[0]
                 doubt = "?" if belief.in_doubt else ""
@@ -197,7 +142,7 @@
             ", ".join(f"{ended[name]} {name}" for name in sorted(ended)) or "none",
             took_ms,
             len(self._requests),
-            len(self._clients.all),
+            self._clients.open,
             self._clients.idle,
             self._servers.open,
             ", ".join(members),
@@ -218,7 +163,7 @@
     async def _wind_down(self) -> None:
         await asyncio.sleep(GRACE_S)
         # Requests' own deadlines bound this: each is answered by then.
-        while self._clients.all or len(self._requests):
+        while self._clients.open or len(self._requests):
             self._clients.stop()
             await asyncio.sleep(0.02)
         self._ended.set()
@@ -241,13 +186,28 @@
                     return
                 await asyncio.sleep(wait_s)
                 continue
-            LOG.info("reload: discovery at %s:%s", *config.discovery)
-            self._router.configure(config.settings)
-            self._classes = {rule.name: rule for rule in config.settings.classes}
-            if config.discovery != self._discovery.address:
-                self._discovery.move(config.discovery)
+            self._apply(config)
             return
 
+    def _apply(self, config: Config) -> None:
+        """Go by another configuration. Address, name and limits of the machine stay as they were at the start.
+
+        Threat: an old figure that stays behind in some part of the gateway, and is gone by after all.
+        """
+        LOG.info("reload: discovery at %s:%s", *config.discovery)
+        was = self._config
+        self._config = replace(config, name=was.name, listen=was.listen, limits=was.limits)
+        self._router.configure(config.settings)
+        self._classes = {rule.name: rule for rule in config.settings.classes}
+        self._servers.bounds = replace(self._servers.bounds, dial_s=config.dial_s, idle_s=config.idle_s)
+        self._discovery.wait(self._watch_s())
+        if config.discovery != self._discovery.address:
+            self._discovery.move(config.discovery)
+
+    def _watch_s(self) -> float:
+        """A watch waits so long that its silent break is noticed well before its news counts as told."""
+        return self._config.settings.ask_within_us / 4e6
+
     # ---- Clock ----
 
     def _on_clock(self, unix_us: float) -> int:
@@ -289,6 +249,10 @@
             entries.append(entry)
         entries += [known for name in news.unread if (known := self._entries.get(self._numbers.of(name))) is not None]
         self._do(self._requests.handle(api.Roster(news.kind, tuple(entries)), now_us()))
+        for entry in entries:  # what waits for a connection there was decided by an older list
+            pool = self._servers.pool(entry.member)
+            if pool is not None:
+                pool.review()
         self._let_go({entry.member for entry in entries}, news.kind is not RosterKind.CHANGES)
 
     def _let_go(self, named: set[int], whole: bool) -> None:
@@ -336,6 +300,10 @@
 
     # ---- Servers ----
 
+    def may_write(self, attempt: req.Attempt) -> bool:
+        """Whether an attempt may be written at this moment."""
+        return self._requests.may_write(attempt, now_us())
+
     def attempt_ended(self, sent: Sent, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
         """An attempt's end, with the position and role that came with it."""
         self._sending.pop(id(sent.attempt), None)
@@ -356,6 +324,9 @@
         if check.done:
             return
         check.done = True
+        if outcome is Outcome.WITHDRAWN and self._servers.pool(check.member) not in (None, check.pool):
+            self._check(check.member)  # its server is elsewhere now: it is asked there
+            return
         if self._checks.get(check.member) is check:
             del self._checks[check.member]
         report = self._report(load_report(answer.value)) if answer is not None and answer.value else None
--- /dev/null
+++ b/oatlink/platform/lines.py
@@ -0,0 +1,25 @@
+"""The log's lines, bounded."""
+
+import logging
+
+LINES_PER_S = 50
+
+
+class Lines(logging.Filter):
+    """Threat: a fault that says the same thousands of times a second. What is left out is counted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second = self._written = self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether this second's share holds one more line."""
+        second = int(record.created)
+        if second != self._second:
+            if self._left_out:
+                record.msg = f"{record.getMessage()} ({self._left_out} lines left out before)"
+                record.args = ()
+            self._second, self._written, self._left_out = second, 0, 0
+        self._written += 1
+        self._left_out += self._written > LINES_PER_S
+        return self._written <= LINES_PER_S
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -20,6 +20,10 @@
 class Decider(Protocol):
     """What decides: the Router."""
 
+    def may_write(self, request: str, attempt: int, now_us: int) -> bool:
+        """Whether an attempt that it has sent may still be written; nothing changes."""
+        ...
+
     def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
         """Take one event and return what to do."""
         ...
@@ -42,6 +46,7 @@
     member: int
     started_us: int
     ended: bool = False
+    written: bool = False  # committed to a connection; until then it may be taken back
 
     def payload(self, now_us: int) -> bytes:
         """The statement, with the time that is left."""
@@ -149,11 +154,23 @@
         return one, self.handle(event, now_us)
 
     def departed(self, one: Open, now_us: int) -> list[Do]:
-        """The client has left. What is out goes on to its end, as the Router takes it to."""
+        """The client has left. What is written goes on to its end, as the Router takes it to; the rest is undone."""
         if one.over:
             return []
         self._close(one)
-        return self.handle(api.Departure(one.id), now_us)
+        done = self.handle(api.Departure(one.id), now_us)
+        for attempt in one.out:
+            if not attempt.written:
+                self._do.append(Abandon(attempt))
+                done += self.ended(attempt, Outcome.WITHDRAWN, now_us, now_us)
+        return done
+
+    def may_write(self, attempt: Attempt, now_us: int) -> bool:
+        """Whether an attempt may be written now: its client is there, its time not up, the Router has not changed."""
+        one = attempt.open
+        if attempt.ended or one.over or now_us >= one.expires_us:
+            return False
+        return self.router.may_write(one.id, attempt.number, now_us)
 
     def ended(
         self,
--- a/oatlink/rules/router.py
+++ b/oatlink/rules/router.py
@@ -7,8 +7,8 @@
 import random
 
 from oatlink import interface as api
-from oatlink.book import NEVER, Belief, Book, Group
-from oatlink.rules import answers, arrivals, checks, cold, holding, outcomes, placing, reads, roster, terms
+from oatlink.book import NEVER, Book, Group
+from oatlink.rules import answers, arrivals, checks, holding, outcomes, placing, reads, roster, sending, terms
 
 
 class Router:
@@ -19,7 +19,6 @@
         terms.configure(book, settings)
         book.answer_us = book.target_us
         book.worth = (sum(rule.worth for rule in settings.classes) or 1.0) / len(settings.classes)
-        book.shares = {one: (max(1.0, rate / settings.peers), 0.0, 0) for one, rate in settings.tenant_rates}
 
     def configure(self, settings: api.Settings) -> None:
         """Go by these settings from now on. What came before keeps its class, also where that is no more."""
@@ -56,18 +55,13 @@
         _look_at_due(book)
         return book.do
 
-    @property
-    def unsettled(self) -> bool:
-        """Whether what is held waits for the last of the events that `more` has announced."""
-        return bool(self.book.unsettled)
-
-    def belief(self, number: int) -> Belief | None:
-        """What is held of a member, for people; None for one that is not listed or drains. No change."""
-        book, member = self.book, self.book.members.get(number)
-        if member is None or member.drained:
-            return None
-        primary, doubt = book.groups[member.entry.group].primary == number, checks.in_doubt(book, member)
-        return Belief(member.role, primary, doubt, cold.warmth(book, member), len(member.out), member.room)
+    def may_write(self, request_id: str, index: int, now_us: int) -> bool:
+        """Whether an attempt may still be written: what it was sent by is looked at again. No change."""
+        book, request = self.book, self.book.requests.get(request_id)
+        member = book.members.get(request.attempts[index].member) if request is not None else None
+        if request is None or member is None or request.attempts[index].sent_us < member.started_us <= now_us:
+            return False
+        return sending.may_write(book, request, member, now_us)
 
 
 def _look_at_due(book: Book) -> None:
--- a/oatlink/rules/sending.py
+++ b/oatlink/rules/sending.py
@@ -20,9 +20,14 @@
 
 def may_send(book: Book, request: Request, member: Member) -> bool:
     """The guards of the rules: drain, group, repeats, time, attempts and cold budget."""
+    return (may_write(book, request, member, book.now) and may_repeat(book, request)
+            and cold.within_budget(book, member, 1.0, request))
+
+
+def may_write(book: Book, request: Request, member: Member, now: int) -> bool:
+    """The guards that time alone may turn. Threat: a connection that comes up when all has changed."""
     return (not member.drained and member.entry.group == request.group
-            and book.now < request.expires_us - book.margin_us
-            and may_repeat(book, request) and cold.within_budget(book, member, 1.0, request))
+            and now < request.expires_us - book.margin_us and _safe(book, request, now))
 
 
 def may_repeat(book: Book, request: Request) -> bool:
@@ -30,8 +35,11 @@
     waiting = any(one.out for one in request.attempts)
     if len(request.attempts) >= book.settings.max_attempts or waiting and not book.settings.second_copies:
         return False
-    if request.rule.effect is api.Effect.IDEMPOTENT:
-        return True
-    first, window_us = request.may_have_run_us, request.rule.repeat_window_us
-    return not waiting and (first is None or (
-        request.rule.effect is api.Effect.KEYED and book.now + book.margin_us < first + window_us))
+    return (not waiting or request.rule.effect is api.Effect.IDEMPOTENT) and _safe(book, request, book.now)
+
+
+def _safe(book: Book, request: Request, now: int) -> bool:
+    """Whether one more attempt could do no harm beside those that may have run."""
+    first, rule = request.may_have_run_us, request.rule
+    return (first is None or rule.effect is api.Effect.IDEMPOTENT
+            or rule.effect is api.Effect.KEYED and now + book.margin_us < first + rule.repeat_window_us)
--- a/oatlink/rules/terms.py
+++ b/oatlink/rules/terms.py
@@ -21,3 +21,4 @@
     book.tick_us = max(4 * settings.step_us, 20_000)  # looks are rarer than batches, finer than any aim
     book.margin_us = 2 * settings.step_us
     book.heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
+    book.shares = {one: (max(1.0, rate / settings.peers), 0.0, 0) for one, rate in settings.tenant_rates}
--- /dev/null
+++ b/oatlink/transport/__init__.py
@@ -0,0 +1,1 @@
+"""What every shell's connections have in common."""
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oatlink import interface as api
+from oatlink.beliefs import belief as belief_of
 from oatlink.core import messages as m
 from oatlink.core.addresses import State
 from oatlink.core.explain import explain
@@ -112,7 +113,7 @@
     one.engine._boxes["p"].check_out = True  # as the Router asks for it
     one.give(m.Inspected())
     assert [event.outcome for event in told] == [api.Outcome.SERVED]
-    belief = one.engine.router.belief(before)
+    belief = belief_of(one.engine.router, before)
     assert belief is not None and belief.role is Role.PRIMARY
     assert state(one, PU) is State.FAILED and state(one, P) is State.GOOD
     assert sent(one.ask("SET", PLAIN, 1)).address == P
