Crossings of hand-over forced by tests; drains taken back, odd names, expiry of unwritten attempts

Also mended: an attempt never written was told LATE at its deadline, as if it may have run (`requests.expire`); a drain that was taken back was remembered when the server was dropped later (`roster._enter`); a class name with other characters than letters, digits and `_.:+-` could not be asked for, an empty or doubled one was taken silently.

The stand-in server of the tests awaits its cancelled read, which otherwise met the next one.

--- a/oatlink/interface.py
+++ b/oatlink/interface.py
@@ -126,6 +126,10 @@
             raise ValueError("cold_share must be above 0 and at most 1")
         if not self.classes:
             raise ValueError("classes must name at least one class")
+        names = [rule.name for rule in self.classes]
+        for name in names:
+            if not name or names.count(name) > 1:
+                raise ValueError(f"classes: expected each name once and none empty, got {name[:80]!r}")
         for rule in self.classes:
             if rule.aim_us <= 0 or rule.deadline_us <= 0:
                 raise ValueError(f"classes: {rule.name} must have an aim and a deadline above 0")
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -207,7 +207,7 @@
         return self._ends[0][0] if self._ends else None
 
     def expire(self, now_us: int) -> list[Do]:
-        """End what has no time left: LATE for each attempt out, then the final answer is due."""
+        """End what has no time left: LATE for each attempt written and out, then the final answer is due."""
         done: list[Do] = []
         while self._ends and self._ends[0][0] <= now_us:
             one = self._open.get(heapq.heappop(self._ends)[1])
@@ -215,7 +215,8 @@
                 continue
             for attempt in one.out:
                 self._do.append(Abandon(attempt))
-                done += self.ended(attempt, Outcome.LATE, now_us, now_us)
+                outcome = Outcome.LATE if attempt.written else Outcome.WITHDRAWN
+                done += self.ended(attempt, outcome, now_us, now_us)
             if not one.over:
                 self._do.append(Defect(f"class {one.statement.rule.name}: unanswered at its deadline"))
                 self._final(one, FAILED)
@@ -266,10 +267,9 @@
             return
         attempt.ended = True
         self._do.append(Abandon(attempt))
+        outcome = Outcome.CANCELLED if attempt.written else Outcome.WITHDRAWN
         self._events.append(
-            api.AttemptEnded(
-                one.id, attempt.number, attempt.member, Outcome.CANCELLED, now_us - attempt.started_us, one.over
-            )
+            api.AttemptEnded(one.id, attempt.number, attempt.member, outcome, now_us - attempt.started_us, one.over)
         )
         self._release(one)
 
--- a/oatlink/platform/statement.py
+++ b/oatlink/platform/statement.py
@@ -14,7 +14,7 @@
 VALUE_BYTES = 64 * 1024  # the platform's bound of a value
 QUERY_BYTES = 2 * VALUE_BYTES + 2_048  # a value is written in hex; the rest is names and the comment
 MOST_WAIT_MS = 3_600_000  # a longer wait is no wait but a mistake
-_PAIR = rb"[a-z][a-z_]{0,31}=[A-Za-z0-9_.:+-]{1,128}"
+_PAIR = rb"[a-z][a-z_]{0,31}=[^,*\x00-\x20\x7f]{1,256}"  # no comma, no end of the comment; names are the settings'
 _WORD = rb"[A-Za-z_][A-Za-z0-9_]{0,62}"
 _FORM = re.compile(
     rb"/\* (" + _PAIR + rb"(?:," + _PAIR + rb"){0,15}) \*/ (?:"
@@ -58,6 +58,10 @@
     if form is None:
         raise StatementError("42601", "expected /* id=,c=,d=,cluster= */ and one SELECT or INSERT of this store")
     comment, read, written, value = form.groups()
+    try:
+        comment.decode()
+    except UnicodeDecodeError:
+        raise StatementError("42601", "expected /* id=,c=,d=,cluster= */ in UTF-8") from None
     said: dict[bytes, bytes] = {}
     for pair in comment.split(b","):
         name, _, word = pair.partition(b"=")
--- a/oatlink/rules/roster.py
+++ b/oatlink/rules/roster.py
@@ -65,9 +65,8 @@
     if entry.started_us > member.started_us:
         member.started_us, member.tokens = entry.started_us, book.random.random()
         member.room, member.duration_us = 1.0, 0.0
-    member.drained = entry.listing is api.Listing.TERMINATING
+    member.drained = member.was_terminating = entry.listing is api.Listing.TERMINATING
     if member.drained:
-        member.was_terminating = True
         primaries.lose(book, member)
     elif not book.settings.may_probe and member.role is api.Role.UNKNOWN:
         primaries.take_list_role(book, member)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -36,6 +36,7 @@
         self.statements: list[bytes] = []
         self.checks = self.connections = self.open = 0
         self.release = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
         self.port = 0
 
     async def __aenter__(self) -> "Server":
@@ -47,6 +48,12 @@
         self.release.set()
         self._server.close()
 
+    def hang_up(self) -> None:
+        """End all connections; new ones are greeted once it is released."""
+        self.greets = False
+        for one in self.writers:
+            one.close()
+
     def _mode(self) -> str:
         if isinstance(self.mode, list):
             return self.mode.pop(0) if self.mode else "good"
@@ -55,6 +62,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.open += 1
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             (size,) = struct.unpack("!i", await reader.readexactly(4))
             await reader.readexactly(size - 4)
@@ -68,6 +76,7 @@
                 if kind != b"Q" or not await self._answer(text, reader, writer):
                     break
         self.open -= 1
+        self.writers.discard(writer)
         writer.close()
 
     async def _hang(self, reader: asyncio.StreamReader) -> None:
@@ -76,6 +85,7 @@
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         for one in waits:
             one.cancel()
+        await asyncio.wait(waits)  # else the next read of this connection meets this one
 
     async def _answer(self, text: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         said = pg.make_status("recovery", "off" if self.primary else "on").encode()
@@ -87,9 +97,10 @@
         self.statements.append(text)
         mode = self._mode()
         good = row(b"value of " + text.split(b"'")[1]) + said + pg.make_status("lsn_ms", "17").encode() + READY
-        if mode == "hang":
+        if mode in ("hang", "hang up"):
             await self._hang(reader)
-        elif mode == "huge":
+            return mode == "hang"
+        if mode == "huge":
             writer.write(COLUMNS + b"D" + struct.pack("!i", 2_000_000_000) + b"\0\x01" + b"x" * 100_000)
             await self._hang(reader)
         elif mode == "break":
@@ -218,7 +229,7 @@
             for number, one in enumerate(self.servers)
         ]
 
-    def write(self, discovery: str, sockets: int = 256) -> None:
+    def write(self, discovery: str, sockets: int = 256, settings: dict[str, Any] = OPTIONS) -> None:
         """The configuration file, replaced whole."""
         host, port = self.address
         known = {"version": 0, "full": True, "servers": self.entries()}
@@ -229,7 +240,7 @@
             "seed": "5",
             "limits": {"sockets": sockets},
             "known": known,
-            "settings": OPTIONS,
+            "settings": settings,
         }
         fresh = self.path.with_suffix(".new")
         fresh.write_text(json.dumps(text))
@@ -294,14 +305,16 @@
 
 
 @contextlib.asynccontextmanager
-async def world(place: Path, replicas: int = 2, sockets: int = 256, running: bool = True) -> AsyncIterator[World]:
+async def world(
+    place: Path, replicas: int = 2, sockets: int = 256, running: bool = True, settings: dict[str, Any] = OPTIONS
+) -> AsyncIterator[World]:
     """A gateway before one primary and so many replicas."""
     async with contextlib.AsyncExitStack() as stack:
         servers = [await stack.enter_async_context(Server(number == 0)) for number in range(replicas + 1)]
         discovery = await stack.enter_async_context(Discovery())
         one = World(place, servers, discovery)
         discovery.entries = one.entries()
-        one.write(discovery.address, sockets)
+        one.write(discovery.address, sockets, settings)
         if running:
             await one.start()
         try:
--- /dev/null
+++ b/tests/test_commit.py
@@ -0,0 +1,253 @@
+"""A request is committed at its write: what the Router and the book of requests look at again there."""
+
+import json
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oatlink import interface as api
+from oatlink.interface import Effect, Listing, Outcome, Role, RosterKind
+from oatlink.platform import config
+from oatlink.platform import requests as req
+from oatlink.platform.statement import StatementError, parse
+from oatlink.rules import Router
+from tests.conftest import POST, SETTINGS, VIEW, Driver, member, of, sends
+from tests.test_adapter import OPTIONS
+
+READ = b"/* id=9b1f,c=view,d=480,cluster=1 */ SELECT content FROM kv WHERE name = '7f3a'"
+WRITE = (
+    b"/* id=9b1f,c=post,d=2900,k=5c0f,cluster=1 */ "
+    b"INSERT INTO kv (name, content) VALUES ('7f3a', '\\x9f03') RETURNING content"
+)
+
+
+def may(driver: Driver, send: api.Send, attempt: int = 0) -> bool:
+    return driver.router.may_write(send.request, attempt, driver.now)
+
+
+# ---- The Router ----
+
+
+def test_an_attempt_may_be_written_while_nothing_has_changed(driver: Driver) -> None:
+    (send,) = sends(driver.arrive("post", expires=3_000_000))
+    assert may(driver, send)
+    driver.now += 2_900_000
+    assert may(driver, send)
+
+
+def test_not_to_a_server_that_drains_or_has_left_since(driver: Driver) -> None:
+    (write,) = sends(driver.arrive("post", expires=3_000_000))
+    (read,) = sends(driver.arrive("view"))
+    drains = member(write.member, listing=Listing.TERMINATING)
+    driver.roster(drains, kind=RosterKind.CHANGES)
+    assert not may(driver, write) and may(driver, read)
+    driver.roster(*(member(number) for number in (1, 2, 3) if number != read.member))
+    assert not may(driver, read), "not listed any more"
+
+
+@pytest.mark.parametrize(("ahead_us", "written"), [(-5_000, False), (-50_000, True), (10_000_000, True)])
+def test_not_to_a_server_that_has_started_anew_since(driver: Driver, ahead_us: int, written: bool) -> None:
+    """It is cold now: what it may get is counted anew. One that started before or will start is what it was."""
+    (send,) = sends(driver.arrive("post", expires=3_000_000))
+    driver.now += 10_000
+    driver.roster(member(send.member, started_us=driver.now + ahead_us), kind=RosterKind.CHANGES)
+    assert may(driver, send) == written
+
+
+def test_not_for_a_client_that_has_left_or_has_its_answer_nor_past_its_time(driver: Driver) -> None:
+    (left,) = sends(driver.arrive("post", expires=3_000_000))
+    (late,) = sends(driver.arrive("post", expires=300_000))
+    driver.give(api.Departure(left.request))
+    assert not may(driver, left) and may(driver, late)
+    driver.now += 300_000
+    assert not may(driver, late)
+
+
+@pytest.mark.parametrize("written_in_time", [True, False])
+def test_a_keyed_repeat_is_looked_at_once_more_at_its_write(driver: Driver, written_in_time: bool) -> None:
+    """Threat: chosen within the window, written after it by a connection that came up late: an effect twice."""
+    (first,) = sends(driver.arrive("post", expires=3_000_000))
+    began = driver.now
+    driver.now += 1_200_000
+    (again,) = sends(driver.ended(first, Outcome.ERROR, duration=1_200_000))
+    end = began + POST.repeat_window_us - driver.router.book.margin_us
+    driver.now = end - 1 if written_in_time else end
+    assert may(driver, again, attempt=1) == written_in_time
+    if not written_in_time:
+        done = driver.ended(again, Outcome.WITHDRAWN, attempt=1, duration=0)
+        assert of(api.Fail, done) and not sends(done), "the first may have run: failed, never sent again"
+
+
+def test_an_unsafe_write_goes_again_only_where_nothing_can_have_run(driver: Driver) -> None:
+    (send,) = sends(driver.arrive("submit", expires=5_000_000))
+    (again,) = sends(driver.ended(send, Outcome.WITHDRAWN, duration=0))
+    assert again.request == send.request and may(driver, again, attempt=1)
+    done = driver.ended(again, Outcome.RESET, attempt=1, duration=5_000)
+    assert of(api.Fail, done) and not sends(done)
+
+
+def test_a_withdrawn_attempt_says_nothing_of_its_server(driver: Driver) -> None:
+    before = replace(driver.router.book.members[1])
+    (send,) = sends(driver.arrive("post", expires=3_000_000))
+    driver.ended(send, Outcome.WITHDRAWN, duration=0)
+    after = driver.router.book.members[1]
+    assert (after.room, after.refused, after.full_until_us, after.role) == (
+        before.room,
+        before.refused,
+        before.full_until_us,
+        Role.PRIMARY,
+    )
+    assert not Outcome.WITHDRAWN.may_have_run
+
+
+def test_a_drain_that_was_taken_back_is_not_remembered_when_the_server_is_dropped() -> None:
+    """Where only draining binds, one that came back and is dropped later stays open."""
+    one = Driver(dropped_stay_open=True).ready()
+    (before,) = sends(one.arrive("post", expires=3_000_000))
+    one.ended(before, Outcome.SERVED)
+    one.roster(member(1, listing=Listing.TERMINATING), kind=RosterKind.CHANGES)
+    assert not sends(one.arrive("post", expires=3_000_000))
+    one.roster(member(1), member(2), member(3))
+    one.checked(1, Role.PRIMARY)
+    one.roster(member(2), member(3))
+    assert 1 in one.router.book.members and sends(one.arrive("post", expires=3_000_000))
+    one.roster(member(1, listing=Listing.TERMINATING), kind=RosterKind.CHANGES)
+    one.roster(member(2), member(3))
+    assert 1 not in one.router.book.members, "dropped while it drains: bound"
+
+
+def test_other_settings_bring_other_tenants_and_their_shares() -> None:
+    router = Router(replace(SETTINGS, tenant_rates=(("old", 10.0), ("both", 10.0))))
+    router.configure(replace(SETTINGS, tenant_rates=(("both", 40.0), ("new", 20.0))))
+    assert {one: share[0] for one, share in router.book.shares.items()} == {"both": 20.0, "new": 10.0}
+
+
+# ---- The book of open requests ----
+
+
+class Owner:
+    def __init__(self) -> None:
+        self.finals: list[req.Final] = []
+
+    def answered(self, final: req.Final) -> None:
+        self.finals.append(final)
+
+
+class Desk:
+    """Requests before a Router that knows a primary and two replicas."""
+
+    def __init__(self) -> None:
+        self.now = 100_000_000
+        self.book = req.Requests(Router(SETTINGS))
+        entries = tuple(member(number) for number in (1, 2, 3))
+        self.book.handle(api.Roster(RosterKind.WHOLE, entries), self.now)
+        for number in (1, 2, 3):
+            role = Role.PRIMARY if number == 1 else Role.REPLICA
+            event = api.Checked(number, Outcome.SERVED, 2_000, api.Report(self.now, role))
+            self.book.handle(event, self.now)
+
+    def ask(self, text: bytes) -> tuple[req.Open, req.Attempt, Owner]:
+        statement = parse(text, {"view": VIEW, "post": POST}, {1})
+        owner = Owner()
+        one, done = self.book.arrived(statement, owner, statement.wait_ms * 1000, self.now, None)
+        (launch,) = [each for each in done if isinstance(each, req.Launch)]
+        return one, launch.attempt, owner
+
+
+@pytest.mark.parametrize("written", [True, False])
+def test_a_clients_leaving_takes_back_what_is_not_written_and_only_that(written: bool) -> None:
+    desk = Desk()
+    one, attempt, owner = desk.ask(WRITE)
+    attempt.written = written
+    assert desk.book.may_write(attempt, desk.now)
+    done = desk.book.departed(one, desk.now)
+    assert not desk.book.may_write(attempt, desk.now)
+    assert any(isinstance(each, req.Abandon) for each in done) == (not written)
+    assert attempt.ended == (not written) and not owner.finals
+    if written:
+        desk.book.ended(attempt, Outcome.SERVED, desk.now, desk.now, b"value")
+    assert not desk.book._open and not owner.finals, "the answer of the one that left is nobody's"
+
+
+def test_the_same_id_is_free_at_once_when_its_client_has_left() -> None:
+    desk = Desk()
+    one, attempt, first = desk.ask(READ)
+    attempt.written = True
+    desk.book.departed(one, desk.now)
+    assert not desk.book.is_open(b"9b1f")
+    _, again, second = desk.ask(READ)
+    for each in desk.book.ended(attempt, Outcome.SERVED, desk.now, desk.now, b"the first's"):
+        assert not isinstance(each, req.Tell)
+    (told,) = [
+        each
+        for each in desk.book.ended(again, Outcome.SERVED, desk.now, desk.now, b"its own")
+        if isinstance(each, req.Tell)
+    ]
+    assert told.owner is second and told.final.payload == b"its own" and not first.finals
+
+
+@pytest.mark.parametrize("written", [True, False])
+def test_at_its_deadline_only_a_written_attempt_can_have_run(written: bool) -> None:
+    desk = Desk()
+    _, attempt, _ = desk.ask(WRITE)
+    attempt.written = written
+    heard: list[api.Event] = []
+    handle = desk.book.router.handle
+
+    def noted(event: api.Event, now_us: int) -> list[api.Action]:
+        heard.append(event)
+        return handle(event, now_us)
+
+    desk.book.router.handle = noted  # type: ignore[method-assign]
+    desk.now += 2_900_000
+    done = desk.book.expire(desk.now)
+    ends = [each.outcome for each in heard if isinstance(each, api.AttemptEnded)]
+    assert ends == [Outcome.LATE if written else Outcome.WITHDRAWN]
+    (told,) = [each for each in done if isinstance(each, req.Tell)]
+    assert told.final == req.FAILED, "its time is up"
+
+
+# ---- Names and settings ----
+
+
+@pytest.mark.parametrize("name", ["prix/vue", "éclair", "a@b#c", "x" * 256, "class=1"])
+def test_a_class_may_be_named_as_the_settings_like(name: str) -> None:
+    rule = replace(VIEW, name=name)
+    assert parse(READ.replace(b"c=view", b"c=" + name.encode()), {name: rule}, {1}).rule is rule
+
+
+@pytest.mark.parametrize("name", [b"a*/b", b"a,b", b"a b", b"a\nb", b"", b"x" * 257])
+def test_a_name_that_ends_the_comment_is_a_mistake(name: bytes) -> None:
+    with pytest.raises(StatementError):
+        parse(READ.replace(b"c=view", b"c=" + name), {"view": VIEW, name.decode(): VIEW}, {1})
+
+
+def written_config(place: Path, **changes: Any) -> Path:
+    path = place / "config.json"
+    text = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": OPTIONS | changes}
+    path.write_text(json.dumps(text))
+    return path
+
+
+def test_settings_without_their_optional_parts_are_enough(tmp_path: Path) -> None:
+    options = {name: OPTIONS[name] for name in ("Classes", "FamilyInfo", "Zone")}
+    path = written_config(tmp_path)
+    path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": options}))
+    found = config.read({"GW_CONFIG": str(path)})
+    assert [rule.effect for rule in found.settings.classes] == [Effect.KEYED, Effect.IDEMPOTENT]
+    assert Router(found.settings).handle(api.Start(), 1)
+
+
+def test_a_zone_without_a_name_and_tenants_with_long_or_equal_ones_are_taken(tmp_path: Path) -> None:
+    tenants = [{"Name": name, "AllowancePerS": 5.0} for name in ("", "t" * 100_000, "same", "same")]
+    found = config.read({"GW_CONFIG": str(written_config(tmp_path, Zone="", Tenants=tenants))})
+    assert len(Router(found.settings).book.shares) == 3
+
+
+@pytest.mark.parametrize("names", [("view", "view"), ("view", "")])
+def test_classes_with_the_same_name_or_none_are_one_clear_line(tmp_path: Path, names: tuple[str, str]) -> None:
+    classes = [OPTIONS["Classes"][0] | {"Name": name} for name in names]
+    with pytest.raises(config.ConfigError, match="classes: expected each name once and none empty"):
+        config.read({"GW_CONFIG": str(written_config(tmp_path, Classes=classes))})
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -230,6 +230,7 @@
         self.now = 100_000_000
         self.book = req.Requests(decider or Router(replace(SETTINGS, seed=seed)))
         self.out: dict[int, req.Attempt] = {}
+        self.slow = 0.0 if decider else 0.2  # of the attempts wait for a connection
         self.told: dict[int, int] = {}
         self.owners: list[Asked] = []
         self.open: list[req.Open] = []
@@ -244,6 +245,7 @@
             match one:
                 case req.Launch():
                     assert not one.attempt.open.over, "a send after the final answer"
+                    one.attempt.written = self.draw.random() >= self.slow
                     self.out[id(one.attempt)] = one.attempt
                 case req.Abandon():
                     self.out.pop(id(one.attempt), None)
@@ -269,6 +271,14 @@
                 self.ask(self.draw.choice([READ, WRITE]), number)
             case 2 | 3 if self.out:
                 attempt = self.out.pop(self.draw.choice(list(self.out)))
+                if not attempt.written and self.book.may_write(attempt, self.now):
+                    assert not attempt.open.over and not attempt.ended, "written for nobody"
+                    attempt.written = True
+                    self.out[id(attempt)] = attempt
+                    return
+                if not attempt.written:
+                    self.do(self.book.ended(attempt, Outcome.WITHDRAWN, self.now, self.now))
+                    return
                 outcome = self.draw.choice([*Outcome][:7] + [Outcome.SERVED] * 6 + [Outcome.MISS])
                 role = Role.PRIMARY if attempt.member == 1 else Role.REPLICA
                 self.do(self.book.ended(attempt, outcome, self.now, self.now, b"value", Report(None, role)))
