A read's age and its primary are looked at again at the write

Cause, found by reading: a bound on age counts from the last byte of the send, and a replica was found fresh enough when it was chosen; by a dial of up to `dial_timeout` later it need not be, and a current read could be written to a primary that had been replaced meanwhile.

--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -10,8 +10,7 @@
     member = book.members.get(end.member)
     if member is None:
         return
-    group, sent_us = book.groups[member.entry.group], member.check_sent_us or 0
-    member.check_sent_us = None
+    group, sent_us, member.check_sent_us = book.groups[member.entry.group], member.check_sent_us or 0, None
     if end.outcome is Outcome.SERVED:
         if member.failed_checks:
             # Threat: a member comes back cold, with hung work in it
--- a/oatlink/rules/room.py
+++ b/oatlink/rules/room.py
@@ -26,9 +26,8 @@
         member.rate = cold.rate(book, member) + 1e6 / terms.HEARTBEAT_US
         member.rate_us, member.refused = book.now, 0
         # Threat: a first guess far above what answers take keeps a member out of the turn for long.
-        part = 0.1 if member.duration_us else 1.0
+        member.duration_us += (0.1 if member.duration_us else 1.0) * (event.duration_us - member.duration_us)
         group.usual_us = -1.0
-        member.duration_us += part * (event.duration_us - member.duration_us)
         book.answer_us += 0.05 * (event.duration_us - book.answer_us)
         group.answer_us += 0.05 * (event.duration_us - group.answer_us)
         request = book.requests.get(event.request)
--- a/oatlink/rules/router.py
+++ b/oatlink/rules/router.py
@@ -58,10 +58,10 @@
     def may_write(self, request_id: str, index: int, now_us: int) -> bool:
         """Whether an attempt may still be written: what it was sent by is looked at again. No change."""
         book, request = self.book, self.book.requests.get(request_id)
-        member = book.members.get(request.attempts[index].member) if request is not None else None
-        if request is None or member is None or request.attempts[index].sent_us < member.started_us <= now_us:
+        book.now = max(book.now, now_us)
+        if request is None or (member := book.members.get(request.attempts[index].member)) is None:
             return False
-        return sending.may_write(book, request, member, now_us)
+        return sending.may_write(book, request, member, request.attempts[index].sent_us)
 
 
 def _look_at_due(book: Book) -> None:
--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -80,6 +80,29 @@
         assert of(api.Fail, done) and not sends(done), "the first may have run: failed, never sent again"
 
 
+def test_a_replica_grows_too_old_for_a_read_while_its_connection_is_dialled(driver: Driver) -> None:
+    """Threat: a bound counts from the last byte of the send. What was fresh enough when chosen is stale then."""
+    (send,) = sends(driver.arrive("view"))
+    old = driver.router.book.members[send.member].position_us
+    driver.now = old + VIEW.staleness_us
+    assert may(driver, send)
+    driver.now += 1
+    assert not may(driver, send)
+    driver.checked(send.member, Role.REPLICA)
+    assert may(driver, send), "heard of meanwhile"
+
+
+def test_a_current_read_is_not_written_to_a_primary_that_is_none_any_more(driver: Driver) -> None:
+    driver.now += 20_000
+    (send,) = sends(driver.arrive("check"))
+    assert may(driver, send)
+    driver.now += 20_000
+    driver.checked(2, Role.PRIMARY)
+    assert not may(driver, send) and driver.router.book.groups[1].primary == 2
+    (again,) = sends(driver.ended(send, Outcome.WITHDRAWN, duration=0))
+    assert again.member == 2 and may(driver, again, attempt=1)
+
+
 def test_an_unsafe_write_goes_again_only_where_nothing_can_have_run(driver: Driver) -> None:
     (send,) = sends(driver.arrive("submit", expires=5_000_000))
     (again,) = sends(driver.ended(send, Outcome.WITHDRAWN, duration=0))
