Discovery: answers that cross are put in order, a reset ends no list

Need: the list has to be right where two events cross at discovery.

Change: a package of small modules with the names it had. lists: bytes to news; order: what becomes of an answer that was overtaken, or shows that discovery went back; calls: one GET with h11 over our own stream, bounded in bytes and in time from connect to last byte; watch: Discovery, with wait() for a new waiting time. What is let go is cancelled, so its sockets close. A fetch whose news is taken opens a watch that has ended; one that finds discovery put back opens the watch anew.

--- /dev/null
+++ b/oatlink/platform/discovery/lists.py
@@ -0,0 +1,111 @@
+"""The list of database servers as discovery writes it: the bytes of an answer, and what they say. No I/O.
+
+One bad entry harms only itself. JSON may come indented.
+"""
+
+import ipaddress
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from oatlink.interface import Listing, RosterKind
+
+LISTINGS = {"in_service": Listing.READY, "terminating": Listing.TERMINATING, "terminated": Listing.GONE}
+
+
+class Entry(msgspec.Struct):
+    """One server as discovery writes it."""
+
+    id: str
+    state: str
+    addr: str = ""
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    started_ms: float = 0
+    recovery: str = ""
+
+
+class Page(msgspec.Struct):
+    """An answer of discovery; each entry is read on its own."""
+
+    version: int
+    servers: list[msgspec.Raw]
+    full: bool = False
+
+
+class Named(msgspec.Struct):
+    """Whose entry it is, where no more of it can be read."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """An entry that makes sense."""
+
+    id: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    group: int
+    listing: Listing
+    primary: bool
+    started_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What an answer says. `unread`: servers that are there, of which nothing else could be read."""
+
+    version: int
+    kind: RosterKind
+    servers: tuple[Server, ...]
+    unread: tuple[str, ...] = ()
+
+
+class ListError(Exception):
+    """A list that cannot be read."""
+
+
+def server_of(entry: Entry) -> Server:
+    """An entry's server. Raises `ListError` saying what was expected."""
+    listing = LISTINGS.get(entry.state)
+    if listing is None:
+        raise ListError(f"state: expected one of {', '.join(LISTINGS)}")
+    host, _, port = entry.addr.rpartition(":")
+    host = host.strip("[]")
+    if listing is not Listing.GONE or entry.addr:
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            raise ListError("addr: expected ADDRESS:PORT") from None
+        if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+            raise ListError("addr: expected a port of 1 to 65535")
+    if not 0 <= entry.started_ms < 1 << 46:
+        raise ListError("started_ms: expected a Unix time in milliseconds")
+    address = (host, int(port or 0))
+    return Server(
+        entry.id, address, entry.zone, entry.kind, entry.cell, listing, entry.recovery == "off", entry.started_ms
+    )
+
+
+def read(text: bytes, saved: bool, note: Callable[[str], None]) -> News:
+    """The news of an answer. Raises `ListError` where nothing of it can be read."""
+    try:
+        page = msgspec.json.decode(text, type=Page)
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        raise ListError(str(problem)) from None
+    servers, unread = [], []
+    for raw in page.servers:
+        try:
+            servers.append(server_of(msgspec.json.decode(raw, type=Entry)))
+        except (msgspec.DecodeError, UnicodeDecodeError, ListError) as problem:
+            note(f"discovery: entry {bytes(raw)[:80]!r}: {problem}")
+            try:
+                unread.append(msgspec.json.decode(raw, type=Named).id)
+            except (msgspec.DecodeError, UnicodeDecodeError):
+                continue
+    kind = RosterKind.SAVED if saved else RosterKind.WHOLE if page.full else RosterKind.CHANGES
+    return News(page.version, kind, tuple(servers), tuple(unread))
