RESP gateway: connections end in states, a write commits, EXEC never goes unwatched

`server.py`: `_write` closed at `Hangup` and `_accept` past the bound over unread bytes: a reset. `links.py`: `_place`, `use` looked at `until_us` only: a command whose client had left or whose box drained was written when a connection came up; `release` told such ones as `unsent`, which blames the box. A client's own connection that ended with nothing on it was told to nobody: EXEC then went on a new one, or to another box of that name, and ran unwatched: a lost update. EXEC was written behind a WATCH that was too late. Released connections stayed until `reply_timeout_ms`. What waited for room on the last connection had its deadline once that was lost.

`gateway/clients.py`: a client's connection ends by `transport.ending`, also one turned away; at `stop` the listen queue is accepted, what is held is answered within `drain_ms`, then each connection ends, at most two lingers later. `Engine.may_write` (a query; recordings replay) is asked at each write, at each list, when a client leaves with something open and when a queue is full; what may not is `withdrawn`, at no cost. A lease is one unit: from the first of it that may not be written on nothing is, no second connection is made for it, and the engine answers EXEC by a null. A box that parts loses its leases in the engine. An old link ends after the list is known, its waiting leases with it.

Not shown by a test: that closing an old link before the list was told could send to it again.

--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -110,6 +110,10 @@
         """A box has left, or another has its name now: nothing of it is awaited."""
         name = state.box.name
         self._check_waits.pop(name, None)
+        for session in self._sessions.values():
+            if session.lease_box == name:
+                # Threat: EXEC at whoever has that name next, where nothing is watched.
+                session.lease_lost = True
         for key in [one for one in self._races if one[0] == name]:
             del self._races[key]  # the next link of that name counts its dials from 1 again
         if state.report is not None and self._runs.get(state.report.run_id) == name:
--- a/oatlink/core/outcomes.py
+++ b/oatlink/core/outcomes.py
@@ -11,6 +11,7 @@
     "no connection in time": Outcome.NO_CONNECTION,  # nothing was written
     "stranger": Outcome.NO_CONNECTION,  # the connection reached another run of the box; nothing was written
     "unsent": Outcome.NO_CONNECTION,  # the connection ended before the first byte was handed to it
+    "withdrawn": Outcome.WITHDRAWN,  # taken back before its write: what it was sent by holds no more
     "no room": Outcome.FULL,  # every queue of the gateway to the box is at its bound; nothing was written
     "reset": Outcome.RESET,  # ended after at least one byte may have been handed over: it may have run
     "late": Outcome.LATE,  # no answer before the request's time was up: it may have run
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -41,6 +41,16 @@
         """A request that still has something out or is owed an answer."""
         return self._asks.get(number)
 
+    def may_write(self, request: int, attempt: int, now_us: int) -> bool:
+        """Whether an attempt may be written now; nothing changes. The shell asks at the write, which commits it.
+
+        Threat: a client that has left or has its answer, a box that drains, has moved or gone, a window that is over.
+        """
+        ask = self._asks.get(request)
+        if ask is None or attempt not in ask.open or ask.place.answer is not None:
+            return False
+        return self.router.may_write(str(request), attempt, now_us)
+
     def _route(self, event: api.Event) -> None:
         """Hand the Router an event and turn its actions into effects."""
         for action in self.router.handle(event, self._now, self._more):
--- a/oatlink/gateway/links.py
+++ b/oatlink/gateway/links.py
@@ -279,6 +279,8 @@
         self._pools = {2: Pool(), 3: Pool()}
         self._leases: dict[int, Connection] = {}
         self._lease_waiting: dict[int, deque[m.Send]] = {}
+        self._lost_leases: set[int] = set()  # of clients that do not know it yet
+        self._released: set[Connection] = set()  # were a client's own, and still owe answers
         self._wants: dict[int, Want] = {}
         self._last_want = 0
         self._probes: dict[str, Connection] = {}
@@ -320,21 +322,40 @@
 
     def lost(self, connection: Connection) -> None:
         """A connection has closed."""
-        for pool in self._pools.values():
+        for protocol, pool in self._pools.items():
             if connection in pool.open:
                 pool.open.remove(connection)
+                if pool.waiting and not pool.open:
+                    # Threat: what waited for room on the last connection waits for its deadline.
+                    self._dial(pool, protocol, pool.waiting[0].address)
         for lease, one in list(self._leases.items()):
             if one is connection:
                 del self._leases[lease]
+                self._lost_leases.add(lease)
+        self._released.discard(connection)
         if self._probes.get(connection.address) is connection:
             del self._probes[connection.address]
 
     def freed(self, connection: Connection) -> None:
         """A connection has room: what waits goes on it."""
+        if connection in self._released and not connection.pending:
+            connection.close("reset")
+            return
         pool = self._pools[connection.protocol]
         if pool.waiting and connection in pool.open:
             self._place_waiting(pool, anywhere=not pool.dialing)
 
+    def review(self) -> None:
+        """What waits and may not be written any more ends, and makes room for what may."""
+        for pool in self._pools.values():
+            for send in [one for one in pool.waiting if not self._may_write(one)]:
+                if send in pool.waiting:
+                    pool.waiting.remove(send)
+                    self._withdraw(send)
+        for lease, waiting in list(self._lease_waiting.items()):
+            if not all(self._may_write(one) for one in waiting):
+                self._lose_lease(lease)
+
     def _place_waiting(self, pool: Pool, anywhere: bool) -> None:
         while pool.waiting:
             send = pool.waiting.popleft()
@@ -370,6 +391,8 @@
             return
         pool = self._pools[send.protocol]
         if pool.waiting or not self._place(pool, send):
+            if len(pool.waiting) >= self.settings.pipeline:
+                self.review()  # Threat: what is left of clients that have gone fills the queue
             if len(pool.waiting) >= self.settings.pipeline:
                 self.ended(send, "no room", self.now(), [], b"")
                 return
@@ -381,7 +404,8 @@
 
         One over another address than the request's is used only `anywhere`: where no better one can be had.
         """
-        if self._too_late(send):
+        if not self._may_write(send):
+            self._withdraw(send)
             return True
         best = None
         there = False  # a connection over the address asked for
@@ -405,19 +429,26 @@
             self._dial(pool, send.protocol, send.address)
         return True
 
-    def _too_late(self, send: m.Send) -> bool:
-        if self.now() < send.until_us:
-            return False
-        self.ended(send, "unsent", self.now(), [], b"")
-        return True
+    def _may_write(self, send: m.Send) -> bool:
+        """The last look at a request. Its write commits it; until then it may be taken back.
+
+        Threat: a request that has waited for a connection while its client left, its time ended or its box began to
+        drain, moved or left the list.
+        """
+        return self.now() < send.until_us and self._shell.may_write(send)
+
+    def _withdraw(self, send: m.Send) -> None:
+        self.ended(send, "withdrawn", self.now(), [], b"")
 
-    def _give(self, connection: Connection, send: m.Send) -> None:
+    def _give(self, connection: Connection, send: m.Send) -> bool:
+        """Put a request on a connection, if that reaches the run of the box that the request was sent to."""
         if send.run_id and connection.run_id != send.run_id:
             self.ended(send, "stranger", self.now(), [], b"")
             if not connection.pending:
                 connection.close("reset")
-            return
+            return False
         connection.give(send)
+        return True
 
     def _dial(self, pool: Pool, protocol: int, address: str) -> None:
         """One more shared connection, one at a time, within the bound over all addresses."""
@@ -515,8 +546,7 @@
                 return
             self._leases[want.lease] = connection
             for send in waiting:
-                if not self._too_late(send):
-                    self._give(connection, send)
+                self._give_leased(send)
         else:
             pool = self._pools[want.protocol]
             pool.dialing = ""
@@ -567,10 +597,8 @@
     # ---- Leases ----
 
     def _send_leased(self, send: m.Send) -> None:
-        connection = self._leases.get(send.lease)
-        if connection is not None:
-            if not self._too_late(send):
-                self._give(connection, send)
+        if send.lease in self._leases or send.lease in self._lost_leases:
+            self._give_leased(send)
             return
         waiting = self._lease_waiting.get(send.lease)
         if waiting is not None:
@@ -579,19 +607,48 @@
         if len(self._leases) + len(self._lease_waiting) >= self.settings.exclusive_connections:
             self.ended(send, "no room", self.now(), [], b"")
             return
+        if self.closed or not self._may_write(send):
+            self._withdraw(send)
+            return
         self._lease_waiting[send.lease] = deque([send])
         self._want(Want(send.protocol, send.lease), send.address)
 
+    def _give_leased(self, send: m.Send) -> None:
+        """Threat: EXEC without the WATCH before it, which was not written or was on a connection that has ended.
+
+        So a lease is one unit: what may be written goes on its one connection in order; from the first that may not
+        on nothing does, and no second connection is made for it. The engine then knows that nothing is watched.
+        """
+        connection = self._leases.get(send.lease)
+        if connection is not None and self._may_write(send):
+            if not self._give(connection, send):
+                self._lose_lease(send.lease)
+            return
+        self._withdraw(send)
+        self._lose_lease(send.lease)
+
+    def _lose_lease(self, lease: int) -> None:
+        self._lost_leases.add(lease)
+        for send in self._lease_waiting.pop(lease, ()):
+            self._withdraw(send)
+        self._let_go(self._leases.pop(lease, None))
+
+    def _let_go(self, connection: Connection | None) -> None:
+        """A client's own connection ends once what is on it has ended."""
+        if connection is None:
+            return
+        if connection.pending:
+            self._released.add(connection)
+            IOLoop.current().call_later(self.settings.reply_timeout_ms / 1000, connection.close, "reset")
+        else:
+            connection.close("reset")
+
     def release(self, lease: int) -> None:
         """Carry out `Release`: the connection ends once what is on it has ended."""
+        self._lost_leases.discard(lease)
         for send in self._lease_waiting.pop(lease, ()):
-            self.ended(send, "unsent", self.now(), [], b"")
-        connection = self._leases.pop(lease, None)
-        if connection is not None:
-            if connection.pending:
-                IOLoop.current().call_later(self.settings.reply_timeout_ms / 1000, connection.close, "reset")
-            else:
-                connection.close("reset")
+            self._withdraw(send)
+        self._let_go(self._leases.pop(lease, None))
 
     # ---- Probes ----
 
@@ -675,23 +732,29 @@
         """Open connections."""
         return sum(len(pool.open) for pool in self._pools.values()) + len(self._leases)
 
-    def close(self) -> None:
-        """End all connections."""
+    def leave(self) -> None:
+        """Make no connection any more. What is on one, or waits, ends at `close`."""
         self.closed = True
         with self.turn():
-            for pool in self._pools.values():
-                for one in list(pool.open):
-                    one.close("reset")
-                for send in pool.waiting:
-                    self.ended(send, "unsent", self.now(), [], b"")
-                pool.waiting.clear()
-            for one in [*self._leases.values(), *self._probes.values()]:
-                one.close("reset")
             for dial, want in list(self._wants.items()):
                 for address in sorted(want.out):  # the engine counts what is out
                     self._shell.feed(m.Dialled(self.name, dial, address, "refused", self.now(), 0))
                 want.close()
             self._wants.clear()
+
+    def close(self) -> None:
+        """End all connections, and all that waits for one."""
+        self.leave()
+        with self.turn():
+            for one in [*self._all(), *self._released, *self._probes.values()]:
+                one.close("reset")
+            waiting = [send for pool in self._pools.values() for send in pool.waiting]
+            waiting += [send for sends in self._lease_waiting.values() for send in sends]
+            for pool in self._pools.values():
+                pool.waiting.clear()
+            self._lease_waiting.clear()
+            for send in waiting:
+                self._withdraw(send)
         for task in list(self._tasks):
             task.cancel()
 
@@ -715,6 +778,10 @@
         """A defect of ours that must not stop the gateway: told to the people on call."""
         raise NotImplementedError
 
+    def may_write(self, send: m.Send) -> bool:
+        """Whether a request that waited may still be written; nothing changes."""
+        raise NotImplementedError
+
     def turn(self) -> "Turn":
         """A stretch of work at whose end everything written is flushed."""
         raise NotImplementedError
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -1,19 +1,21 @@
 """The gateway: client listeners, the engine, the links to boxes, and the clock. It carries out and decides nothing."""
 
 import asyncio
-import contextlib
 import socket
 import time
 from collections import deque
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Protocol
 
 from tornado.ioloop import IOLoop, PeriodicCallback
-from tornado.iostream import StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.netutil import add_accept_handler
 
 from oatlink.core import messages as m
 from oatlink.core.snapshot import take
 from oatlink.core.ways import ways_of
+from oatlink.gateway.clients import Client, accept_rest, discard
 from oatlink.gateway.clock import Marks, Stream, now_us, slept_us
 from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
 from oatlink.gateway.listeners import boxes_of
@@ -23,24 +25,11 @@
 from oatlink.native import code
 from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
 from oatlink.settings.model import Settings
+from oatlink.transport.ending import LINGER_S, Ending
 
 COMMANDS_A_TURN = 64  # of one client
 SLEPT_US = 10_000  # less than that is how exactly two clocks are read
-
-
-class Client:
-    """One client connection."""
-
-    def __init__(self, number: int, stream: Stream) -> None:
-        self.number, self.stream = number, stream
-        self.unanswered = 0
-        self.out: list[bytes] = []
-        self.hangup = False
-        self.paused_until_us = 0
-        self.refused_us = 0
-        self.unsent = 0  # bytes written that the client has not taken
-        self.room: asyncio.Future[None] | None = None
-        self.written: asyncio.Future[None] | None = None
+MOST_ENDING = 256  # connections that have had their last answer; past that the oldest are closed at once
 
 
 class FleetSeat(Protocol):
@@ -66,6 +55,8 @@
         limits = settings.limits
         self._limits = Limits(limits.bulk_bytes, limits.message_bytes, limits.items)
         self._clients: dict[int, Client] = {}
+        self._hung: dict[Client, None] = {}  # are written their last answer, or take it
+        self._ending: dict[Ending, None] = {}  # have had their last answer: they take no client's place
         self._last_client = 0
         self._links: dict[str, Link] = {}
         self._inputs: deque[m.AnyInput] = deque()
@@ -77,7 +68,7 @@
         self._dirty_clients: list[Client] = []
         self._wake: object | None = None
         self._removers: list[object] = []
-        self._sockets: list[socket.socket] = []
+        self._listeners: list[tuple[socket.socket, Callable[[socket.socket, object], None]]] = []
         self._sweeper = PeriodicCallback(self._sweep, 1000)
         self._tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
@@ -87,23 +78,22 @@
 
     def start(self, sockets: list[socket.socket], admin: list[socket.socket] | None = None) -> None:
         """Serve on bound sockets, with the roster of the settings; `admin` ones are for operators."""
-        self._sockets = [*sockets, *(admin or ())]
+        self._listeners = [(one, self._accept) for one in sockets]
+        self._listeners += [(one, partial(self._accept, admin=True)) for one in admin or ()]
         self.feed(m.Started(code()))
         self.list(boxes_of(self.settings))
-        for one in sockets:
-            self._removers.append(add_accept_handler(one, self._accept))
-        for one in admin or ():
-            self._removers.append(
-                add_accept_handler(one, lambda sock, address: self._accept(sock, address, admin=True))
-            )
+        for sock, accept in self._listeners:
+            self._removers.append(add_accept_handler(sock, accept))
         self._sweeper.start()
 
     def list(self, boxes: tuple[m.Box, ...]) -> None:
         """Discovery has spoken."""
+        left = []
         for box in boxes:
             link, ways = self._links.get(box.name), tuple(ways_of(box))
             if link is not None and not any(one.address in link.ways for one in ways):
-                link.close()
+                link.leave()
+                left.append(link)
                 link = None
             if link is None:
                 self._links[box.name] = Link(box.name, ways, self.settings.links, self._limits, self)
@@ -111,8 +101,17 @@
                 link.relist(ways)
         self.feed(m.Listed(boxes))
         named = {box.name for box in boxes}
-        for name in [one for one in self._links if one not in named]:
-            self._links.pop(name).close()
+        left += [self._links.pop(name) for name in [one for one in self._links if one not in named]]
+        # Threat: what ends with an old link is sent again at once, to the same link while the list is not known.
+        for link in left:
+            link.close()
+        self._review()
+
+    def _review(self) -> None:
+        """Something has changed that waiting requests were sent by: what may be written no more is told."""
+        with self._turn:
+            for link in list(self._links.values()):
+                link.review()
 
     def reload(self, settings: Settings) -> None:
         """Use other settings, to which `core.reload` has no objection."""
@@ -130,16 +129,16 @@
         self.stopping = True
         for remove in self._removers:
             remove()  # type: ignore[operator]
-        for one in self._sockets:
-            one.close()
+        for sock, accept in self._listeners:
+            accept_rest(sock, accept)
+            sock.close()
         self.feed(m.Draining())
         end = time.monotonic() + self.settings.drain_ms / 1000
         while not self.engine.idle and time.monotonic() < end:
             await asyncio.sleep(0.01)
         self._sweeper.stop()
         self._snapshot(0)
-        for client in list(self._clients.values()):
-            client.stream.close()
+        await self._end_clients(end)
         for link in self._links.values():
             link.close()
         if self._wake is not None:
@@ -149,6 +148,22 @@
         await asyncio.sleep(0)
         self._tape.close()
 
+    async def _end_clients(self, end: float) -> None:
+        """End each client's connection once it owes nothing; what is still owed at `end` is given up."""
+        for client in self._clients.values():
+            client.ending.drain()
+            client.wake()
+        last = end + 2 * LINGER_S + 0.5  # an `Ending` takes no longer; this loop must not depend on it
+        while (self._clients or self._ending) and time.monotonic() < last:
+            for client in [*self._clients.values(), *self._hung]:
+                client.given_up = client.given_up or time.monotonic() >= end
+                client.ending.settle()
+            for one in list(self._ending):
+                one.settle()
+            await asyncio.sleep(0.01)
+        for one in [*(client.ending for client in self._clients.values()), *self._ending]:
+            one.close()
+
     @property
     def probing(self) -> bool:
         """Whether the answer to a probe is awaited."""
@@ -162,6 +177,10 @@
         with self.turn():
             for link in self._links.values():
                 link.sweep()
+        patience_us = self.settings.limits.client_write_timeout_ms * 1_000
+        for client in [one for one in self._hung if now_us() - one.hung_us > patience_us]:
+            client.given_up = True
+            client.ending.settle()
         self._tape.flush()
         self.metrics.fold()
         self._snapshot(self.settings.snapshot_every_ms * 1000)
@@ -183,6 +202,10 @@
         """See `Shell.wrong`."""
         self.notes.note("fault", text)
 
+    def may_write(self, send: m.Send) -> bool:
+        """See `Shell.may_write`."""
+        return self.engine.may_write(send.request, send.attempt, now_us())
+
     def dirty(self, connection: Connection) -> None:
         """See `Shell.dirty`."""
         self._dirty_links.append(connection)
@@ -244,7 +267,7 @@
         elif isinstance(effect, m.Hangup):
             client = self._clients.get(effect.client)
             if client is not None:
-                client.hangup = True
+                client.hung_us = now_us()
                 self._dirty_clients.append(client)
         else:
             self.notes.note(effect.event, effect.text)
@@ -268,93 +291,122 @@
         most_unsent = self.settings.limits.client_output_bytes
         stream = Stream(sock, self.marks, max_buffer_size=1 << 30, max_write_buffer_size=most_unsent)
         if len(self._clients) >= self.settings.limits.clients:
-            stream.write(error("ERR max number of clients reached")).add_done_callback(lambda _: stream.close())
+            self._turn_away(stream)
             return
         if sock.family != socket.AF_UNIX:
             stream.set_nodelay(True)
         self._last_client += 1
-        client = Client(self._last_client, stream)
+        client = Client(self._last_client, stream, self._ended)
         self._clients[client.number] = client
         peer = f"{address[0]}:{address[1]}" if isinstance(address, tuple) else "unix"
         self.feed(m.Opened(client.number, peer, admin))
-        task = asyncio.ensure_future(self._serve(client))
+        self._keep(self._serve(client))
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _turn_away(self, stream: Stream) -> None:
+        """One connection too many. Threat: a close over what it has sent already takes the refusal with it."""
+        ending = Ending(stream, lambda: False, lambda: self._ending.pop(ending, None))
+        written = stream.write(error("ERR max number of clients reached"))
+        written.add_done_callback(swallow)
+        written.add_done_callback(lambda _: ending.settle())
+        self._begin_to_end(ending)
+        ending.drain(is_deaf=True)
+        self._keep(discard(stream, ending))
+
+    def _ended(self, client: Client) -> None:
+        self._hung.pop(client, None)
+        self._ending.pop(client.ending, None)
+
+    def _begin_to_end(self, ending: Ending) -> None:
+        """Threat: peers that never end their side hold all descriptors."""
+        self._ending[ending] = None
+        if len(self._ending) > MOST_ENDING and not self.stopping:
+            next(iter(self._ending)).close()
+
     async def _serve(self, client: Client) -> None:
         """Read a client's commands until it leaves, breaks the protocol or does not take its answers."""
-        reader, stream = CommandReader(self._limits), client.stream
-        most = self.settings.limits.client_pipeline
-        most_unsent = self.settings.limits.client_output_bytes // 2
-        patience_s = self.settings.limits.client_write_timeout_ms / 1000
         try:
-            while True:
-                resumed_us = await self._pause(client) if client.paused_until_us else 0
-                ready_us = now_us()
-                data = await stream.read_bytes(CHUNK, partial=True)
-                came_us = stream.since_us
-                if not resumed_us:
-                    # Threat: the stream reads ahead. What came while its client's earlier commands were seen to
-                    # waited for those, as the rest of a full pipeline does.
-                    came_us = max(came_us, ready_us)
-                elif resumed_us <= came_us < resumed_us + 1_000:
-                    came_us = client.refused_us  # it lay unread; since when is not known
-                await self.marks.let_in()
-                reader.feed(data)
-                while True:
-                    # Threat: a pipeline that is refused for its own length. A command waits for its client's earlier
-                    # ones by its client's wish; this process is late only with the first of them.
-                    now = now_us()
-                    late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
-                    taken, full = 0, True
-                    with self._turn:
-                        while client.unanswered < most and taken < COMMANDS_A_TURN:
-                            args = reader.take()
-                            if args is None:
-                                full = False
-                                break
-                            client.unanswered += 1
-                            taken += 1
-                            self.feed(m.Asked(client.number, args, late_us, self.marks.waiting, waited_us))
-                    if client.unsent > most_unsent and client.written is not None:
-                        # It does not take its answers: nothing more is read from it until it does. Below the
-                        # mark reading goes on, for a client may send a long pipeline before it reads at all.
-                        async with asyncio.timeout(patience_s):
-                            await asyncio.shield(client.written)
-                    if not full:
-                        break
-                    if client.unanswered >= most:
-                        client.room = asyncio.get_running_loop().create_future()
-                        await client.room
-                    came_us = now_us()  # the rest waited for its own earlier commands, not for this process
-                    if taken == COMMANDS_A_TURN:
-                        await self.marks.let_in(again=True)  # what is answered here at once never fills the pipeline
+            await self._read(client)
+            await discard(client.stream, client.ending)  # behind its last answer
         except ProtocolError as problem:
             self.feed(m.Broken(client.number, str(problem)))
-            with contextlib.suppress(StreamClosedError, TimeoutError):
-                async with asyncio.timeout(patience_s):  # the answers before the error are still owed
-                    while not stream.closed():
-                        await stream.read_bytes(CHUNK, partial=True)
+            await discard(client.stream, client.ending)  # the answers before the error are still owed
         except (StreamClosedError, TimeoutError):
             pass
         finally:
-            stream.close()
-            del self._clients[client.number]
+            client.ending.close()
+            self._clients.pop(client.number, None)
             self.feed(m.Closed(client.number))
+            if client.unanswered:
+                self._review()
+
+    async def _read(self, client: Client) -> None:
+        """Take commands until the last answer is there. Raises `ProtocolError`, `StreamClosedError`, `TimeoutError`."""
+        reader, stream = CommandReader(self._limits), client.stream
+        most = self.settings.limits.client_pipeline
+        most_unsent = self.settings.limits.client_output_bytes // 2
+        patience_s = self.settings.limits.client_write_timeout_ms / 1000
+        while not client.is_deaf:
+            resumed_us = await self._pause(client) if client.paused_until_us else 0
+            ready_us = now_us()
+            data = await stream.read_bytes(CHUNK, partial=True)
+            if client.is_deaf:
+                client.ending.discard(len(data))
+                return
+            came_us = stream.since_us
+            if not resumed_us:
+                # Threat: the stream reads ahead. What came while its client's earlier commands were seen to
+                # waited for those, as the rest of a full pipeline does.
+                came_us = max(came_us, ready_us)
+            elif resumed_us <= came_us < resumed_us + 1_000:
+                came_us = client.refused_us  # it lay unread; since when is not known
+            await self.marks.let_in()
+            reader.feed(data)
+            while True:
+                # Threat: a pipeline that is refused for its own length. A command waits for its client's earlier
+                # ones by its client's wish; this process is late only with the first of them.
+                now = now_us()
+                late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
+                taken, full = 0, True
+                with self._turn:
+                    # Threat: what lies here behind a last answer, or of a client that has gone, is done for nobody.
+                    while client.unanswered < most and taken < COMMANDS_A_TURN and not client.is_over:
+                        args = reader.take()
+                        if args is None:
+                            full = False
+                            break
+                        client.unanswered += 1
+                        taken += 1
+                        self.feed(m.Asked(client.number, args, late_us, self.marks.waiting, waited_us))
+                if client.is_over:
+                    break
+                if client.unsent > most_unsent and client.written is not None:
+                    # It does not take its answers: nothing more is read from it until it does. Below the
+                    # mark reading goes on, for a client may send a long pipeline before it reads at all.
+                    async with asyncio.timeout(patience_s):
+                        await asyncio.shield(client.written)
+                if not full:
+                    break
+                if client.unanswered >= most:
+                    client.lacks_room = True
+                    await client.wait()
+                    client.lacks_room = False
+                came_us = now_us()  # the rest waited for its own earlier commands, not for this process
+                if taken == COMMANDS_A_TURN:
+                    await self.marks.let_in(again=True)  # what is answered here at once never fills the pipeline
 
     async def _pause(self, client: Client) -> int:
         """Read nothing until the engine allows it again, or the client has left; when that was."""
-        loop = asyncio.get_running_loop()
-        over: asyncio.Future[None] = loop.create_future()
-
-        def end() -> None:
-            if not over.done():
-                over.set_result(None)
-
-        handle = loop.call_later(max(0, client.paused_until_us - now_us()) / 1e6, end)
-        client.stream.set_close_callback(end)
+        handle = asyncio.get_running_loop().call_later(
+            max(0, client.paused_until_us - now_us()) / 1e6, client.wake
+        )
+        client.stream.set_close_callback(client.wake)
         try:
-            await over
+            await client.wait()
         finally:
             handle.cancel()
             client.stream.set_close_callback(None)
@@ -369,31 +421,15 @@
         if not client.out:
             self._dirty_clients.append(client)
         client.out.append(effect.data)
-        if client.room is not None and client.unanswered < self.settings.limits.client_pipeline:
-            if not client.room.done():
-                client.room.set_result(None)
-            client.room = None
+        if client.lacks_room and client.unanswered < self.settings.limits.client_pipeline:
+            client.wake()
 
     def _write(self, client: Client) -> None:
-        stream = client.stream
-        if client.out and not stream.closed():
-            data, client.out = (client.out[0] if len(client.out) == 1 else b"".join(client.out)), []
-            try:
-                written = stream.write(data)
-            except (StreamBufferFullError, StreamClosedError):
-                self.notes.note("client", f"{client.number} cut off: it does not take its answers")
-                stream.close()
-                return
-            client.unsent += len(data)
-
-            def taken(future: "asyncio.Future[None]", size: int = len(data)) -> None:
-                client.unsent -= size
-                swallow(future)
-
-            written.add_done_callback(taken)
-            client.written = written
-        if client.hangup and not stream.closed():
-            if client.written is None or client.written.done():
-                stream.close()
-            else:
-                client.written.add_done_callback(lambda _: stream.close())
+        if not client.write():
+            self.notes.note("client", f"{client.number} cut off: it does not take its answers")
+        if client.hung_us and client.ending.may_take:
+            self._clients.pop(client.number, None)
+            self._hung[client] = None
+            self._begin_to_end(client.ending)
+            client.ending.drain(is_deaf=True)
+            client.wake()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
     for name in (
         "test_day",
         "test_full_path",
+        "test_gateway_crossings",
         "test_lateness",
         "test_links",
         "test_native",  # compiles on all cores
