Where lists are pushed, a gateway asks within the time that it has to stop sending

Cause, found by reading the terms: with a pushed list the agent's knowledge counts as told from a process's first moment, and at once when discovery is back. `config.read` turned push into ask and left 10 s: the first watch came up to 2.5 s after a start with more than four peers, and after failures it was asked for again up to 3.75 s late (`roster.start`, `roster.listed`); a site may give 0.7 s to stop sending. Change: `StopSendingWithinUs` is read; with push it bounds `ask_within`. A watch waits as long as before. Measured: the new test's push case fails without the change; the ask case is as it was.

--- a/oatlink/options.py
+++ b/oatlink/options.py
@@ -67,6 +67,7 @@
 
 class Obligations(Wire):
     ask_within_us: int = 10_000_000
+    stop_sending_within_us: int = 0  # of a drain's being told; 0 where nothing is said
     cold_share: float = 1.0
     warm_after_us: int = 0
     overload_factor: float = 3.0
--- a/oatlink/platform/config.py
+++ b/oatlink/platform/config.py
@@ -13,6 +13,7 @@
 
 MOST_BYTES = 16 * 1024 * 1024
 LEAST_SOCKETS = 64
+WATCHES = 4  # watches in the time within which the settings have the list asked for
 
 
 class ConfigError(Exception):
@@ -56,10 +57,24 @@
     limits: Limits
     known: bytes
     settings: Settings
+    watch_s: float  # how long a watch may wait: its silent break is noticed well before its news counts as told
     dial_s: float
     idle_s: float
 
 
+def asked_for(settings: Settings, options: Options) -> Settings:
+    """The settings as they hold on sockets, where each list has to be asked for.
+
+    Threat: settings whose list is pushed. Nobody pushes it here: unasked, each drain and start is missed. And what the
+    agent has counts as told with no watch open, from a process's first moment on: there a gateway asks within the time
+    that it has to stop sending.
+    """
+    within_us = settings.ask_within_us
+    if not settings.must_ask_roster and options.obligations.stop_sending_within_us > 0:
+        within_us = min(within_us, options.obligations.stop_sending_within_us)
+    return replace(settings, must_ask_roster=True, ask_within_us=within_us)
+
+
 def address(text: str, place: str) -> tuple[str, int]:
     """An address of numbers, as there is no DNS. Raises `ConfigError`."""
     host, _, port = text.rpartition(":")
@@ -87,8 +102,7 @@
     try:
         file = msgspec.json.decode(text, type=File)
         seed = int(file.seed, 16) if isinstance(file.seed, str) else file.seed
-        # Threat: settings whose list is pushed. On sockets nobody pushes it: unasked, each drain and start is missed.
-        settings = replace(to_settings(file.settings, seed & (1 << 64) - 1), must_ask_roster=True)
+        settings = asked_for(to_settings(file.settings, seed & (1 << 64) - 1), file.settings)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: {error}") from None
     except (WireError, ValueError) as error:
@@ -110,6 +124,7 @@
         limits=file.limits,
         known=bytes(file.known),
         settings=settings,
+        watch_s=file.settings.obligations.ask_within_us / WATCHES / 1e6,
         dial_s=file.settings.limits.dial_timeout_us / 1e6,
         idle_s=file.settings.limits.keepalive_us / 1e6,
     )
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -63,7 +63,7 @@
         most_servers = round(spare * SERVERS_PART)
         self._servers = Servers(Bounds(config.dial_s, config.idle_s, most_servers), self._marks, self.note, self._keep)
         self._clients = Clients(sock, spare - most_servers, self, self._marks, self._keep, self.note)
-        self._discovery = Discovery(config.discovery, self._watch_s(), self._told, self.note)
+        self._discovery = Discovery(config.discovery, config.watch_s, self._told, self.note)
         self._ended = asyncio.Event()
         self._reloading: asyncio.Task[None] | None = None
         self._answers: Counter[str] = Counter()  # since the last line of state
@@ -200,14 +200,10 @@
         self._router.configure(config.settings)
         self._classes = {rule.name: rule for rule in config.settings.classes}
         self._servers.bounds = replace(self._servers.bounds, dial_s=config.dial_s, idle_s=config.idle_s)
-        self._discovery.wait(self._watch_s())
+        self._discovery.wait(config.watch_s)
         if config.discovery != self._discovery.address:
             self._discovery.move(config.discovery)
 
-    def _watch_s(self) -> float:
-        """A watch waits so long that its silent break is noticed well before its news counts as told."""
-        return self._config.settings.ask_within_us / 4e6
-
     # ---- Clock ----
 
     def _on_clock(self, unix_us: float) -> int:
--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -274,3 +274,17 @@
     classes = [OPTIONS["Classes"][0] | {"Name": name} for name in names]
     with pytest.raises(config.ConfigError, match="classes: expected each name once and none empty"):
         config.read({"GW_CONFIG": str(written_config(tmp_path, Classes=classes))})
+
+
+@pytest.mark.parametrize(("mode", "within_us"), [("push", 700_000), ("ask", 10_000_000)])
+def test_a_pushed_list_is_asked_for_within_the_time_to_stop_sending(tmp_path: Path, mode: str, within_us: int) -> None:
+    """Threat: what the agent has counts as told from a process's first moment, and at once when discovery is back."""
+    duties = {"AskWithinUs": 10_000_000, "StopSendingWithinUs": 700_000}
+    path = written_config(tmp_path, Discovery=mode, PeersTotal=200, Obligations=duties)
+    found = config.read({"GW_CONFIG": str(path)})
+    assert (found.settings.must_ask_roster, found.settings.ask_within_us, found.watch_s) == (True, within_us, 2.5)
+    for seed in range(20):
+        router = Router(replace(found.settings, seed=seed))
+        done = [*router.handle(api.Start(), 1), *router.handle(api.Roster(RosterKind.FAILED), 2)]
+        asked = [one.at_us for one in done if isinstance(one, api.SetTimer)]
+        assert max(asked) <= 2 + within_us / 2
