A request between the look at an idle connection and its drain no longer keeps it for good

Cause: to make room, an idle connection was drained and put with those that end, in two looks. Result: the crossing, forced both ways (room for a new one, relief under pressure), failed before and passes.

--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -107,7 +107,9 @@
 
     def _end(self, client: Client) -> None:
         client.drain()
-        self._began_to_end(client)
+        # Threat: a request that came since it was looked at. It is answered first; sweeps look after it until then.
+        if client.is_ending:
+            self._began_to_end(client)
 
     def _idle_long(self, at_us: int) -> list[Client]:
         """Clients that may be closed, the one that idles longest first."""
