A client that goes while its answer is written is let go at once, and nothing behind is asked

Cause: with more than a query's worth unread behind the open one, the reader waits for room. When the write of the answer met a reset, only the write saw it: the connection was counted for up to two seconds more. Woken then, the reader found bytes that the stream had read ahead, and asked the next request of a client that was gone. Change: a failed write closes the connection; no request is asked once its stream is closed.

--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -167,7 +167,7 @@
             self.write(pg.make_complete(words[0].upper()).encode() + answers.READY)
         elif not self.ending.may_take:
             self.write(answers.refusal(0))  # nothing new is taken on a connection that ends; another takes it at once
-        elif self._blocked and self.stream.peer_has_ended():
+        elif self.stream.closed() or (self._blocked and self.stream.peer_has_ended()):
             self.close()  # what it sent before it went must not be sent on
         else:
             # Time runs from the last byte; behind an open query it runs from that one's answer.
@@ -219,8 +219,10 @@
             written.add_done_callback(self._written)
 
     def _written(self, written: "asyncio.Future[None]") -> None:
-        """The bytes are handed over, or the stream has closed."""
-        if not written.cancelled() and written.exception() is None and not self.stream.writing():
+        """The bytes are handed over, or the stream has closed: its reader may be waiting, and would not see it."""
+        if written.cancelled() or written.exception() is not None:
+            self.close()
+        elif not self.stream.writing():
             self._unsent_us = 0
             self.step()
 
