Signals during the imports and in the last moment no longer kill the gateway

Cause: signals were held only once everything was imported, most of the start's time: a SIGTERM or SIGHUP before that killed the process. At the end the handlers go with the loop, and a second SIGTERM killed an interpreter that was ending in order, with a code that reads as a crash. Change: signals are held before the imports (`signals`, `start` are modules of their own for that), and again once nothing is owed. Result: a start that stands still in its imports, and a storm of signals up to the end: ended by the signal before, in order now.

--- a/oatlink/platform/__main__.py
+++ b/oatlink/platform/__main__.py
@@ -1,63 +1,16 @@
 """`python -m oatlink.platform`: one gateway, told by the GW_ variables and the file that they name."""
 
-import asyncio
-import gc
-import logging
-import signal
-import socket
 import sys
 
-import uvloop
-
-from oatlink.platform.config import Config, ConfigError, read
-from oatlink.platform.gateway import SIGNALS, Gateway
-from oatlink.platform.lines import Lines
-
-BACKLOG = 512
-
-
-def bound(config: Config) -> socket.socket:
-    """The listening socket. Raises `OSError`."""
-    family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(config.listen)
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
-async def serve(config: Config, sock: socket.socket) -> None:
-    """Run the gateway."""
-    await Gateway(config, sock).run()
+from oatlink.platform import signals
 
 
 def main() -> int:
     """Run until an orderly end; 2 where the configuration is wrong."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(logging.Formatter("%(asctime)s.%(msecs)03d %(levelname)s %(message)s", "%H:%M:%S"))
-    handler.addFilter(Lines())
-    logging.basicConfig(level=logging.INFO, handlers=[handler])
-    logging.getLogger("tornado").setLevel(logging.ERROR)
-    # Threat: a signal that comes before there is anyone to take it would kill the process. It waits for the gateway.
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-    try:
-        config = read()
-        sock = bound(config)
-    except ConfigError as problem:
-        print(f"oatlink: {problem}", file=sys.stderr)
-        return 2
-    except OSError as problem:
-        print(f"oatlink: listen: {problem.strerror}", file=sys.stderr)
-        return 2
-    # Threat: closed connections are cycles, and the collector looks at its oldest generation only once it has grown by
-    # a quarter. Without what was imported, a quarter is little; the second collection makes it count anew.
-    gc.collect()
-    gc.freeze()
-    gc.collect()
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(config, sock))
-    return 0
+    signals.hold()  # until the gateway takes them: the imports below are most of its start
+    from oatlink.platform.start import run
+
+    return run()
 
 
 if __name__ == "__main__":
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -18,6 +18,7 @@
 from oatlink.interface import Outcome, Report, RosterKind
 from oatlink.platform import discovery as disco
 from oatlink.platform import requests as req
+from oatlink.platform import signals
 from oatlink.platform.clients import Client, Clients, error, refusal
 from oatlink.platform.config import Config, ConfigError, read
 from oatlink.platform.discovery import Discovery, News
@@ -33,7 +34,6 @@
 RESERVE = 24  # descriptors for the log, the loop, the listener, signals and discovery's calls
 SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
 GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
-SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 RELOAD_S = (0.1, 0.3, 1.0, 3.0)  # a file that cannot be read is looked at again
 
 
@@ -77,7 +77,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for one in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(one, self._stop)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        signals.take()
         self._know()
         self._do(self._requests.handle(api.Start(), now_us()))
         self._clients.listen()
@@ -93,6 +93,7 @@
         LOG.info("ready: %s on %s:%s", self._config.name, *self._clients.address)
         sweeping = asyncio.ensure_future(self._sweep())
         await self._ended.wait()
+        signals.hold()  # for good: the handlers go with the loop, and an interpreter takes its time to end
         sweeping.cancel()
         self._discovery.close()
         self._servers.close()
