Tests of clients' crossings with the gateway's end of their connections, each forced

In one process (test_client_crossings, with client_world) and against the gateway's process (test_platform_endings).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,6 +26,7 @@
         "test_native",  # compiles on all cores
         "test_operators",
         "test_paths",
+        "test_platform_endings",
         "test_platform_sockets",
         "test_recording",
         "test_reload",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -87,6 +87,9 @@
         self.statements.append(text)
         mode = self._mode()
         good = row(b"value of " + text.split(b"'")[1]) + said + pg.make_status("lsn_ms", "17").encode() + READY
+        if mode == "held":  # answered once it is released
+            await self.release.wait()
+            mode = "good"
         if mode == "hang":
             await self._hang(reader)
         elif mode == "huge":
@@ -237,15 +240,23 @@
 
     async def start(self) -> None:
         """Start the gateway and wait until it serves."""
+        await self.launch()
+        await self.serves()
+
+    async def launch(self, **environment: str) -> None:
+        """Start the gateway, and wait for nothing."""
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "oatlink.platform",
             cwd=ROOT,
-            env=os.environ | {"GW_CONFIG": str(self.path)},
+            env=os.environ | {"GW_CONFIG": str(self.path)} | environment,
             stderr=asyncio.subprocess.PIPE,
         )
         self._reading = asyncio.ensure_future(self._read())
+
+    async def serves(self) -> None:
+        """Wait until it serves."""
         line = await self.logged("ready: ")
         self.address = ("127.0.0.1", int(line.rpartition(":")[2]))
 
