--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -29,6 +29,7 @@
         "test_operators",
         "test_paths",
         "test_platform_crossings",
+        "test_platform_endings",
         "test_platform_sockets",
         "test_recording",
         "test_reload",
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -93,7 +93,8 @@
             one.signal(signal.SIGHUP)
             await one.logged("reload: ")
             assert sqlstate(await other.ask(view())) == "22023", "the class is no more"
-            assert sqlstate(await other.ask(view(name="look"))) == "53300", "one may be open now, and one is"
+            for _ in range(6):  # a refusal is no mistake of the client's
+                assert sqlstate(await other.ask(view(name="look"))) == "53300", "one may be open now, and one is"
             for server in one.servers:
                 server.mode = "good"
                 server.hang_up()
