--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -17,17 +17,17 @@
 from oatlink.core.ways import ways_of
 from oatlink.gateway.clients import Client, accept_rest, discard
 from oatlink.gateway.clock import Marks, Stream, now_us, slept_us
-from oatlink.gateway.links import CHUNK, Connection, Link, Shell, Turn, swallow
+from oatlink.gateway.links import Flushed, Link, Shell, Turn, swallow
 from oatlink.gateway.listeners import boxes_of
 from oatlink.gateway.metrics import Metrics
 from oatlink.gateway.notes import Notes
+from oatlink.gateway.reading import read
 from oatlink.gateway.recorder import Tape, start_engine, write_snapshot
 from oatlink.native import code
-from oatlink.protocols.resp import CommandReader, Limits, ProtocolError, error
+from oatlink.protocols.resp import Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 from oatlink.transport.ending import LINGER_S, Ending
 
-COMMANDS_A_TURN = 64  # of one client
 SLEPT_US = 10_000  # less than that is how exactly two clocks are read
 MOST_ENDING = 256  # connections that have had their last answer; past that the oldest are closed at once
 
@@ -64,7 +64,7 @@
         self._now_us = began_us  # of the newest input
         self._slept_us = slept_us()
         self._turn = Turn(self._flush)
-        self._dirty_links: list[Connection] = []
+        self._dirty_links: list[Flushed] = []
         self._dirty_clients: list[Client] = []
         self._wake: object | None = None
         self._removers: list[object] = []
@@ -117,7 +117,7 @@
         """Use other settings, to which `core.reload` has no objection."""
         self.settings = settings
         for link in self._links.values():
-            link.settings = settings.links
+            link.reload(settings.links)
         self.feed(m.Reloaded(settings))
         if not settings.roster_file:
             self.list(boxes_of(settings))
@@ -206,7 +206,7 @@
         """See `Shell.may_write`."""
         return self.engine.may_write(send.request, send.attempt, now_us())
 
-    def dirty(self, connection: Connection) -> None:
+    def dirty(self, connection: Flushed) -> None:
         """See `Shell.dirty`."""
         self._dirty_links.append(connection)
 
@@ -330,7 +330,7 @@
     async def _serve(self, client: Client) -> None:
         """Read a client's commands until it leaves, breaks the protocol or does not take its answers."""
         try:
-            await self._read(client)
+            await read(client, self._limits, self.settings.limits, self)
             await discard(client.stream, client.ending)  # behind its last answer
         except ProtocolError as problem:
             self.feed(m.Broken(client.number, str(problem)))
@@ -344,75 +344,6 @@
             if client.unanswered:
                 self._review()
 
-    async def _read(self, client: Client) -> None:
-        """Take commands until the last answer is there. Raises `ProtocolError`, `StreamClosedError`, `TimeoutError`."""
-        reader, stream = CommandReader(self._limits), client.stream
-        most = self.settings.limits.client_pipeline
-        most_unsent = self.settings.limits.client_output_bytes // 2
-        patience_s = self.settings.limits.client_write_timeout_ms / 1000
-        while not client.is_deaf:
-            resumed_us = await self._pause(client) if client.paused_until_us else 0
-            ready_us = now_us()
-            data = await stream.read_bytes(CHUNK, partial=True)
-            if client.is_deaf:
-                client.ending.discard(len(data))
-                return
-            came_us = stream.since_us
-            if not resumed_us:
-                # Threat: the stream reads ahead. What came while its client's earlier commands were seen to
-                # waited for those, as the rest of a full pipeline does.
-                came_us = max(came_us, ready_us)
-            elif resumed_us <= came_us < resumed_us + 1_000:
-                came_us = client.refused_us  # it lay unread; since when is not known
-            await self.marks.let_in()
-            reader.feed(data)
-            while True:
-                # Threat: a pipeline that is refused for its own length. A command waits for its client's earlier
-                # ones by its client's wish; this process is late only with the first of them.
-                now = now_us()
-                late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
-                taken, full = 0, True
-                with self._turn:
-                    # Threat: what lies here behind a last answer, or of a client that has gone, is done for nobody.
-                    while client.unanswered < most and taken < COMMANDS_A_TURN and not client.is_over:
-                        args = reader.take()
-                        if args is None:
-                            full = False
-                            break
-                        client.unanswered += 1
-                        taken += 1
-                        self.feed(m.Asked(client.number, args, late_us, self.marks.waiting, waited_us))
-                if client.is_over:
-                    break
-                if client.unsent > most_unsent and client.written is not None:
-                    # It does not take its answers: nothing more is read from it until it does. Below the
-                    # mark reading goes on, for a client may send a long pipeline before it reads at all.
-                    async with asyncio.timeout(patience_s):
-                        await asyncio.shield(client.written)
-                if not full:
-                    break
-                if client.unanswered >= most:
-                    client.lacks_room = True
-                    await client.wait()
-                    client.lacks_room = False
-                came_us = now_us()  # the rest waited for its own earlier commands, not for this process
-                if taken == COMMANDS_A_TURN:
-                    await self.marks.let_in(again=True)  # what is answered here at once never fills the pipeline
-
-    async def _pause(self, client: Client) -> int:
-        """Read nothing until the engine allows it again, or the client has left; when that was."""
-        handle = asyncio.get_running_loop().call_later(
-            max(0, client.paused_until_us - now_us()) / 1e6, client.wake
-        )
-        client.stream.set_close_callback(client.wake)
-        try:
-            await client.wait()
-        finally:
-            handle.cancel()
-            client.stream.set_close_callback(None)
-        client.paused_until_us = 0
-        return now_us()
-
     def _answer(self, effect: m.Answer) -> None:
         client = self._clients.get(effect.client)
         if client is None:
