--- a/oatlink/gateway/links/link.py
+++ b/oatlink/gateway/links/link.py
@@ -28,7 +28,6 @@
         self._wants = Wants(self._facts, self, self._tasks)
         self._pools = {one: Pool(one, self._facts, self.reports, self._wants) for one in (2, 3)}
         self._leases = Leases(self._facts, self.reports, self._wants)
-        self._lease_waiting = self._leases.waiting  # tests look at it
         self._probes = Probes(self._facts, self, self._tasks)
 
     @property
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -7,6 +7,7 @@
 import signal
 import struct
 import sys
+import tempfile
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
@@ -335,6 +336,14 @@
                 await one.stop()
 
 
+@contextlib.asynccontextmanager
+async def in_a_place(**more: Any) -> AsyncIterator[World]:
+    """The same in a folder of its own."""
+    with tempfile.TemporaryDirectory() as place:
+        async with world(Path(place), **more) as one:
+            yield one
+
+
 def play(scene: Coroutine[Any, Any, None]) -> None:
     """Run one scene to its end."""
     asyncio.run(asyncio.wait_for(scene, 4 * PATIENCE_S))
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -13,64 +13,56 @@
 from oatlink.transport import ending
 from oatlink.transport.closing import State
 from tests.client_world import STARTUP, Home, Peer, home, play, query
+from tests.scenes import scene
 
 BIG = 60_000  # an answer that small sockets do not take at once
 REFUSED = "53300"
 
 
 @pytest.mark.parametrize("how", ["end", "drain"])
-def test_an_answer_and_a_close_in_one_turn_over_unread_bytes_arrive_both(how: str) -> None:
-    async def scene() -> None:
-        async with home(watched=True) as one:
-            peer, client = await one.client()
-            one.asker.size = BIG
-            peer.send(query(b"a"))
-            await one.asked(1)
-            peer.send(query(b"b"), query(b"c"))  # in the gateway's socket, unread
-            one.asker.answer(client)
-            if how == "end":
-                client.end(b"")
-            else:
-                client.drain()
-            peer.send(query(b"d"))  # what comes after the shutdown, if it was shut down
-            found = await peer.answers()
-            assert found[0] == "value of a", "whole, then the end, no reset"
-            assert found[1:] == ([] if how == "end" else [REFUSED] * (len(found) - 1)) and len(found) <= 4
-            assert one.asker.texts == [b"a"], "what came by the end is never asked"
-            peer.sock.close()
-            await one.until(lambda: client.closed)
-
-    play(scene())
-
-
-def test_a_request_just_before_the_drain_is_refused_and_the_connection_ends() -> None:
-    async def scene() -> None:
-        async with home() as one:
-            peer, client = await one.client()
-            peer.send(query(b"a"))
-            one.clients.stop()
-            assert client.ending.state is State.DRAINING, "a request lies there: nothing is shut down over it"
-            await one.until(lambda: client.is_ending, sweeps=True)
-            assert await peer.answers() == [REFUSED]
-            assert not one.asker.texts
-
-    play(scene())
+@scene(home, watched=True)
+async def test_an_answer_and_a_close_in_one_turn_over_unread_bytes_arrive_both(one: Home, how: str) -> None:
+    peer, client = await one.client()
+    one.asker.size = BIG
+    peer.send(query(b"a"))
+    await one.asked(1)
+    peer.send(query(b"b"), query(b"c"))  # in the gateway's socket, unread
+    one.asker.answer(client)
+    if how == "end":
+        client.end(b"")
+    else:
+        client.drain()
+    peer.send(query(b"d"))  # what comes after the shutdown, if it was shut down
+    found = await peer.answers()
+    assert found[0] == "value of a", "whole, then the end, no reset"
+    assert found[1:] == ([] if how == "end" else [REFUSED] * (len(found) - 1)) and len(found) <= 4
+    assert one.asker.texts == [b"a"], "what came by the end is never asked"
+    peer.sock.close()
+    await one.until(lambda: client.closed)
+
+
+@scene(home)
+async def test_a_request_just_before_the_drain_is_refused_and_the_connection_ends(one: Home) -> None:
+    peer, client = await one.client()
+    peer.send(query(b"a"))
+    one.clients.stop()
+    assert client.ending.state is State.DRAINING, "a request lies there: nothing is shut down over it"
+    await one.until(lambda: client.is_ending, sweeps=True)
+    assert await peer.answers() == [REFUSED]
+    assert not one.asker.texts
 
 
-def test_a_request_just_after_the_shutdown_is_never_asked_and_its_client_sees_the_end() -> None:
-    async def scene() -> None:
-        async with home() as one:
-            peer, client = await one.client()
-            one.clients.stop()
-            assert client.ending.state is State.HALF_CLOSED
-            peer.send(query(b"a"), query(b"b"))
-            assert await peer.answers() == []
-            await one.until(lambda: client.ending._closing.discarded > 0)
-            peer.sock.close()
-            await one.until(lambda: client.closed)
-            assert not one.asker.texts
-
-    play(scene())
+@scene(home)
+async def test_a_request_just_after_the_shutdown_is_never_asked_and_its_client_sees_the_end(one: Home) -> None:
+    peer, client = await one.client()
+    one.clients.stop()
+    assert client.ending.state is State.HALF_CLOSED
+    peer.send(query(b"a"), query(b"b"))
+    assert await peer.answers() == []
+    await one.until(lambda: client.ending._closing.discarded > 0)
+    peer.sock.close()
+    await one.until(lambda: client.closed)
+    assert not one.asker.texts
 
 
 @pytest.mark.parametrize("how", ["make room", "relieve"])
@@ -109,117 +101,102 @@
     play(scene())
 
 
-def test_one_past_the_bound_is_refused_in_words_whatever_it_has_sent_already() -> None:
-    async def scene() -> None:
-        async with home(most=16) as one:
-            for number in range(14):
-                (await one.client())[0].send(query(b"q%d" % number))
-            await one.asked(14)
-            peer = one.knock(STARTUP + query(b"one too many"), query(b"and more"))
-            assert await peer.answers() == [REFUSED]
-            silent = [one.knock(STARTUP) for _ in range(60)]  # they never end their side
-            for each in silent[:-2]:  # the oldest go hard, for they hold descriptors
-                with contextlib.suppress(ConnectionError):
-                    assert await each.answers() in ([REFUSED], [])
-                assert one.clients.open <= 16
-            for each in silent[-2:]:
-                assert await each.answers() == [REFUSED]
-            assert len(one.asker.texts) == 14 and len(one.clients.all) == 14
-            one.asker.answer(next(iter(one.clients.all)))
-            assert await one.peers[0].answer() == "value of q0", "those inside are served"
-
-    play(scene())
-
-
-def test_a_client_that_asks_without_a_pause_gets_one_answer_for_each_and_an_end() -> None:
-    async def scene() -> None:
-        async with home(watched=True) as one:
-            one.asker.at_once = True
-            peer, client = await one.client()
-            loop = asyncio.get_running_loop()
-
-            async def flood() -> None:
-                number = 0
-                while True:
-                    await loop.sock_sendall(peer.sock, query(b"k%d" % number))
-                    number += 1
-                    await asyncio.sleep(0)
-
-            flooding = asyncio.ensure_future(flood())
-            found = [await peer.answer() for _ in range(20)]
-            one.clients.stop()
-            found += await peer.answers()
-            flooding.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await flooding
-            asked = len(one.asker.texts)
-            assert found[:asked] == [f"value of k{number}" for number in range(asked)]
-            assert len(found) > asked and set(found[asked:]) == {REFUSED}, "one answer each, in order"
-            peer.sock.close()
-            await one.until(lambda: client.closed)
-
-    play(scene())
+@scene(home, most=16)
+async def test_one_past_the_bound_is_refused_in_words_whatever_it_has_sent_already(one: Home) -> None:
+    for number in range(14):
+        (await one.client())[0].send(query(b"q%d" % number))
+    await one.asked(14)
+    peer = one.knock(STARTUP + query(b"one too many"), query(b"and more"))
+    assert await peer.answers() == [REFUSED]
+    silent = [one.knock(STARTUP) for _ in range(60)]  # they never end their side
+    for each in silent[:-2]:  # the oldest go hard, for they hold descriptors
+        with contextlib.suppress(ConnectionError):
+            assert await each.answers() in ([REFUSED], [])
+        assert one.clients.open <= 16
+    for each in silent[-2:]:
+        assert await each.answers() == [REFUSED]
+    assert len(one.asker.texts) == 14 and len(one.clients.all) == 14
+    one.asker.answer(next(iter(one.clients.all)))
+    assert await one.peers[0].answer() == "value of q0", "those inside are served"
+
+
+@scene(home, watched=True)
+async def test_a_client_that_asks_without_a_pause_gets_one_answer_for_each_and_an_end(one: Home) -> None:
+    one.asker.at_once = True
+    peer, client = await one.client()
+    loop = asyncio.get_running_loop()
+
+    async def flood() -> None:
+        number = 0
+        while True:
+            await loop.sock_sendall(peer.sock, query(b"k%d" % number))
+            number += 1
+            await asyncio.sleep(0)
+
+    flooding = asyncio.ensure_future(flood())
+    found = [await peer.answer() for _ in range(20)]
+    one.clients.stop()
+    found += await peer.answers()
+    flooding.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await flooding
+    asked = len(one.asker.texts)
+    assert found[:asked] == [f"value of k{number}" for number in range(asked)]
+    assert len(found) > asked and set(found[asked:]) == {REFUSED}, "one answer each, in order"
+    peer.sock.close()
+    await one.until(lambda: client.closed)
 
 
 @pytest.mark.parametrize("goes_on", [True, False])
-def test_half_a_message_at_the_drain_is_answered_if_it_comes_whole_and_ended_if_not(goes_on: bool) -> None:
-    async def scene() -> None:
-        async with home(watched=True) as one:
-            peer, client = await one.client()
-            text = query(b"a query")
-            peer.send(text[:7])
-            await one.until(lambda: client._reader.pending == 7)
-            one.clients.stop()
-            assert client.ending.state is State.DRAINING
-            if goes_on:
-                peer.send(text[7:])
-            assert await peer.answers() == ([REFUSED] if goes_on else [])
-            assert not one.asker.texts
-            peer.sock.close()
-            await one.until(lambda: client.closed)
-
-    play(scene())
-
-
-def test_what_waits_in_the_listeners_queue_at_the_end_is_not_reset() -> None:
-    async def scene() -> None:
-        async with home(watched=True) as one:
-            asks = [one.knock(STARTUP + query(b"a")) for _ in range(20)]
-            starts = [one.knock(STARTUP) for _ in range(20)]
-            silent = [one.knock() for _ in range(5)]
-            one.clients.stop()
-            for each in asks:
-                assert await each.answers() == ["", REFUSED]
-            for each in starts:
-                assert await each.answers() == [""]
-            for each in silent:
-                assert await each.answers() == []
-            assert not one.asker.texts
-
-    play(scene())
+@scene(home, watched=True)
+async def test_half_a_message_at_the_drain_is_answered_if_it_comes_whole_else_ended(one: Home, goes_on: bool) -> None:
+    peer, client = await one.client()
+    text = query(b"a query")
+    peer.send(text[:7])
+    await one.until(lambda: client._reader.pending == 7)
+    one.clients.stop()
+    assert client.ending.state is State.DRAINING
+    if goes_on:
+        peer.send(text[7:])
+    assert await peer.answers() == ([REFUSED] if goes_on else [])
+    assert not one.asker.texts
+    peer.sock.close()
+    await one.until(lambda: client.closed)
+
+
+@scene(home, watched=True)
+async def test_what_waits_in_the_listeners_queue_at_the_end_is_not_reset(one: Home) -> None:
+    asks = [one.knock(STARTUP + query(b"a")) for _ in range(20)]
+    starts = [one.knock(STARTUP) for _ in range(20)]
+    silent = [one.knock() for _ in range(5)]
+    one.clients.stop()
+    for each in asks:
+        assert await each.answers() == ["", REFUSED]
+    for each in starts:
+        assert await each.answers() == [""]
+    for each in silent:
+        assert await each.answers() == []
+    assert not one.asker.texts
 
 
 @pytest.mark.parametrize("is_answered", [False, True])
-def test_a_client_that_leaves_behind_more_than_is_read_is_noticed_and_nothing_more_is_asked(is_answered: bool) -> None:
-    async def scene() -> None:
-        async with home() as one:
-            peer, client = await one.client()
-            peer.send(query(b"first"))
-            await one.asked(1)
-            pile = query(b"behind".ljust(10_000))
-            for _ in range(QUERY_BYTES // len(pile) + 6):
-                peer.send(pile)
-                await asyncio.sleep(0)
-            await one.until(lambda: client._reader.pending > QUERY_BYTES)
-            peer.sock.close()
-            if is_answered:  # before anybody has looked
-                one.asker.answer(client)
-            await one.until(lambda: client.closed, sweeps=not is_answered)
-            assert one.asker.texts == [b"first"]
-            assert one.asker.gone == ([] if is_answered else [b"first"])
-            assert client not in one.clients.all
-
-    play(scene())
+@scene(home)
+async def test_a_client_that_leaves_behind_more_than_is_read_is_noticed(one: Home, is_answered: bool) -> None:
+    peer, client = await one.client()
+    peer.send(query(b"first"))
+    await one.asked(1)
+    pile = query(b"behind".ljust(10_000))
+    for _ in range(QUERY_BYTES // len(pile) + 6):
+        peer.send(pile)
+        await asyncio.sleep(0)
+    await one.until(lambda: client._reader.pending > QUERY_BYTES)
+    peer.sock.close()
+    if is_answered:  # before anybody has looked
+        one.asker.answer(client)
+    await one.until(lambda: client.closed, sweeps=not is_answered)
+    assert one.asker.texts == [b"first"]
+    assert one.asker.gone == ([] if is_answered else [b"first"])
+    assert client not in one.clients.all
 
 
 async def unread(one: Home, behind: bytes = b"") -> tuple[Peer, connection.Client]:
@@ -231,58 +208,44 @@
     return peer, client
 
 
-def test_a_client_that_never_reads_holds_one_answer_and_is_closed_after_its_time(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    async def scene() -> None:
-        async with home(small=True) as one:
-            peer, client = await unread(one, query(b"b") * 50)
-            held = client.stream._write_buffer
-            for _ in range(20):
-                one.clients.sweep()
-                await asyncio.sleep(0)
-                assert one.asker.texts == [b"a"] and len(held) <= BIG + 200, "the next waits for the last one's taking"
-            monkeypatch.setattr(connection, "HALF_US", 0)
-            await one.until(lambda: client.closed, sweeps=True)
-            assert one.asker.texts == [b"a"] and not one.clients.open
-            with pytest.raises((ConnectionError, EOFError)):  # cut short, and to be recognised as such
-                await peer.answer()
-
-    play(scene())
-
-
-def test_a_client_that_reads_late_gets_all_in_order() -> None:
-    async def scene() -> None:
-        async with home(small=True) as one:
-            peer, _ = await unread(one, query(b"b") + query(b"c"))
-            assert one.asker.texts == [b"a"]
-            assert [await peer.answer() for _ in range(3)] == ["value of a", "value of b", "value of c"]
+@scene(home, small=True)
+async def test_a_client_that_never_reads_holds_one_answer(one: Home, monkeypatch: pytest.MonkeyPatch) -> None:
+    peer, client = await unread(one, query(b"b") * 50)
+    held = client.stream._write_buffer
+    for _ in range(20):
+        one.clients.sweep()
+        await asyncio.sleep(0)
+        assert one.asker.texts == [b"a"] and len(held) <= BIG + 200, "the next waits for the last one's taking"
+    monkeypatch.setattr(connection, "HALF_US", 0)
+    await one.until(lambda: client.closed, sweeps=True)
+    assert one.asker.texts == [b"a"] and not one.clients.open
+    with pytest.raises((ConnectionError, EOFError)):  # cut short, and to be recognised as such
+        await peer.answer()
 
-    play(scene())
 
+@scene(home, small=True)
+async def test_a_client_that_reads_late_gets_all_in_order(one: Home) -> None:
+    peer, _ = await unread(one, query(b"b") + query(b"c"))
+    assert one.asker.texts == [b"a"]
+    assert [await peer.answer() for _ in range(3)] == ["value of a", "value of b", "value of c"]
 
-def test_one_whose_answer_is_still_being_written_does_not_idle() -> None:
-    async def scene() -> None:
-        async with home(small=True) as one:
-            peer, client = await unread(one)
-            assert client.stream.at_rest() and client.idle_since_us() is None
-            assert await peer.answer() == "value of a"
-            await one.until(lambda: client.idle_since_us() is not None)
 
-    play(scene())
+@scene(home, small=True)
+async def test_one_whose_answer_is_still_being_written_does_not_idle(one: Home) -> None:
+    peer, client = await unread(one)
+    assert client.stream.at_rest() and client.idle_since_us() is None
+    assert await peer.answer() == "value of a"
+    await one.until(lambda: client.idle_since_us() is not None)
 
 
-def test_an_answer_that_is_still_being_written_at_the_end_is_taken_whole() -> None:
-    async def scene() -> None:
-        async with home(small=True, watched=True) as one:
-            peer, client = await unread(one)
-            one.clients.stop()
-            assert client.ending.state is State.DRAINING
-            assert await peer.answers() == ["value of a"]
-            peer.sock.close()
-            await one.until(lambda: not one.clients.open)
-
-    play(scene())
+@scene(home, small=True, watched=True)
+async def test_an_answer_that_is_still_being_written_at_the_end_is_taken_whole(one: Home) -> None:
+    peer, client = await unread(one)
+    one.clients.stop()
+    assert client.ending.state is State.DRAINING
+    assert await peer.answers() == ["value of a"]
+    peer.sock.close()
+    await one.until(lambda: not one.clients.open)
 
 
 def test_a_peer_that_takes_its_last_answer_late_and_never_ends_its_side_is_closed(
@@ -303,29 +266,25 @@
 
 @pytest.mark.parametrize("how", ["reset", "close"])
 @pytest.mark.parametrize("behind", [b"", query(b"b".ljust(10_000)) * (QUERY_BYTES // 10_000 + 6)], ids=["", "pile"])
-def test_a_client_that_goes_while_its_answer_is_written_is_gone_at_once(how: str, behind: bytes) -> None:
+@scene(home, small=True)
+async def test_a_client_that_goes_while_its_answer_is_written(one: Home, how: str, behind: bytes) -> None:
     """With more behind its query than is read, its reader waits: the write alone sees that it has gone."""
-
-    async def scene() -> None:
-        async with home(small=True) as one:
-            one.asker.size = BIG
-            peer, client = await one.client()
-            peer.send(query(b"a"))
-            await one.asked(1)
-            loop = asyncio.get_running_loop()
-            await asyncio.wait_for(loop.sock_sendall(peer.sock, behind), 10)
-            await one.until(lambda: (client._reader.pending > QUERY_BYTES) == bool(behind))
-            one.asker.answer(client)
-            assert client.stream.writing()
-            if how == "reset":
-                peer.reset()
-            else:
-                peer.sock.close()
-            await one.until(lambda: client not in one.clients.all)
-            assert client.closed and not one.asker.gone, "it was answered"
-            assert one.asker.texts == [b"a"]
-
-    play(scene())
+    one.asker.size = BIG
+    peer, client = await one.client()
+    peer.send(query(b"a"))
+    await one.asked(1)
+    loop = asyncio.get_running_loop()
+    await asyncio.wait_for(loop.sock_sendall(peer.sock, behind), 10)
+    await one.until(lambda: (client._reader.pending > QUERY_BYTES) == bool(behind))
+    one.asker.answer(client)
+    assert client.stream.writing()
+    if how == "reset":
+        peer.reset()
+    else:
+        peer.sock.close()
+    await one.until(lambda: client not in one.clients.all)
+    assert client.closed and not one.asker.gone, "it was answered"
+    assert one.asker.texts == [b"a"]
 
 
 def test_silent_and_slow_connections_without_number_are_bounded_and_others_are_served(
--- a/tests/test_gateway_crossings.py
+++ b/tests/test_gateway_crossings.py
@@ -390,7 +390,7 @@
 @scene(world)
 async def test_of_a_lease_nothing_is_written_behind_what_may_not_be(one: World) -> None:
     client = await waits(one, "WATCH", "a")
-    wait = one.link._lease_waiting
+    wait = one.link._leases.waiting
     rest = resp.command("MULTI") + resp.command("SET", "b", 1) + resp.command("EXEC")
     await asyncio.get_running_loop().sock_sendall(client, rest)
     await until(lambda: [len(sends) for sends in wait.values()] == [2])
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -14,6 +14,7 @@
 from oatlink.platform.servers import Bounds, Pool, Servers
 from oatlink.protocols import pgwire as pg
 from tests.platform_world import PATIENCE_S, Server, play
+from tests.scenes import scene
 
 ASK = pg.make_query(b"SELECT content FROM kv WHERE name = '7f3a'").encode()
 
@@ -92,88 +93,73 @@
     one.server.statements.clear()
 
 
-def test_a_request_withdrawn_while_its_connection_was_dialled_is_not_written_and_the_connection_is_kept() -> None:
-    async def scene() -> None:
-        async with room(greets=False) as one:
-            gone, other = Errand(), Errand()
-            one.pool.launch(gone)
-            await one.until("server.connections == 1")
-            gone.may = False
-            one.server.greets = True
-            one.server.release.set()
-            assert await one.ended(gone) is Outcome.WITHDRAWN
-            await one.until("pool.idle")
-            one.pool.launch(other)
-            assert await one.ended(other) is Outcome.SERVED
-            assert one.server.statements == [ASK[5:-1]] and one.server.connections == 1, "paid for once"
-
-    play(scene())
-
-
-def test_the_next_that_may_takes_the_place_of_one_that_may_not() -> None:
-    async def scene() -> None:
-        async with room(greets=False) as one:
-            first, second = Errand(), Errand()
-            one.pool.launch(first)
-            one.pool.launch(second)
-            first.may = False
-            one.server.greets = True
-            one.server.release.set()
-            assert await one.ended(first) is Outcome.WITHDRAWN
-            assert await one.ended(second) is Outcome.SERVED
-            assert len(one.server.statements) == 1
-
-    play(scene())
-
-
-def test_the_list_has_spoken_who_waits_and_may_not_go_there_is_told_before_the_dial_ends() -> None:
-    async def scene() -> None:
-        async with room(greets=False) as one:
-            stays, goes = Errand(), Errand()
-            one.pool.launch(goes)
-            one.pool.launch(stays)
-            goes.may = False
-            one.pool.review()
-            assert goes.outcomes == [Outcome.WITHDRAWN] and not stays.outcomes
-            one.server.greets = True
-            one.server.release.set()
-            assert await one.ended(stays) is Outcome.SERVED
-
-    play(scene())
-
-
-def test_a_server_that_leaves_keeps_what_is_written_gets_nothing_more_and_no_connection_stays() -> None:
-    async def scene() -> None:
-        async with room() as one:
-            await up(one)
-            one.server.mode = ["hang up"]
-            written, waits = Errand(), Errand()
-            one.pool.launch(written)
-            await one.until("server.statements")
-            one.server.greets = False
-            one.pool.launch(waits)
-            await one.until("server.connections == 2")
-            one.servers.gone(1)
-            assert waits.outcomes == [Outcome.WITHDRAWN] and not written.outcomes
-            assert one.servers.pool(1) is None
-            one.server.release.set()  # the hung one says nothing more and ends; the dial comes up, for nobody
-            await one.until("server.open == 0 and room.servers.open == 0")
-            assert len(one.server.statements) == 1
-
-    play(scene())
-
-
-def test_a_busy_connection_of_a_server_that_left_ends_with_its_answer() -> None:
-    async def scene() -> None:
-        async with room() as one:
-            await up(one)
-            job = Errand()
-            one.pool.launch(job)
-            one.servers.gone(1)  # written, not answered yet
-            assert await one.ended(job) is Outcome.SERVED
-            await one.until("server.open == 0 and room.servers.open == 0")
-
-    play(scene())
+@scene(room, greets=False)
+async def test_one_withdrawn_while_its_connection_was_dialled_is_not_written_and_the_connection_kept(one: Room) -> None:
+    gone, other = Errand(), Errand()
+    one.pool.launch(gone)
+    await one.until("server.connections == 1")
+    gone.may = False
+    one.server.greets = True
+    one.server.release.set()
+    assert await one.ended(gone) is Outcome.WITHDRAWN
+    await one.until("pool.idle")
+    one.pool.launch(other)
+    assert await one.ended(other) is Outcome.SERVED
+    assert one.server.statements == [ASK[5:-1]] and one.server.connections == 1, "paid for once"
+
+
+@scene(room, greets=False)
+async def test_the_next_that_may_takes_the_place_of_one_that_may_not(one: Room) -> None:
+    first, second = Errand(), Errand()
+    one.pool.launch(first)
+    one.pool.launch(second)
+    first.may = False
+    one.server.greets = True
+    one.server.release.set()
+    assert await one.ended(first) is Outcome.WITHDRAWN
+    assert await one.ended(second) is Outcome.SERVED
+    assert len(one.server.statements) == 1
+
+
+@scene(room, greets=False)
+async def test_the_list_has_spoken_who_waits_and_may_not_go_there_is_told_before_the_dial_ends(one: Room) -> None:
+    stays, goes = Errand(), Errand()
+    one.pool.launch(goes)
+    one.pool.launch(stays)
+    goes.may = False
+    one.pool.review()
+    assert goes.outcomes == [Outcome.WITHDRAWN] and not stays.outcomes
+    one.server.greets = True
+    one.server.release.set()
+    assert await one.ended(stays) is Outcome.SERVED
+
+
+@scene(room)
+async def test_a_server_that_leaves_keeps_what_is_written_gets_nothing_more_and_no_connection_stays(one: Room) -> None:
+    await up(one)
+    one.server.mode = ["hang up"]
+    written, waits = Errand(), Errand()
+    one.pool.launch(written)
+    await one.until("server.statements")
+    one.server.greets = False
+    one.pool.launch(waits)
+    await one.until("server.connections == 2")
+    one.servers.gone(1)
+    assert waits.outcomes == [Outcome.WITHDRAWN] and not written.outcomes
+    assert one.servers.pool(1) is None
+    one.server.release.set()  # the hung one says nothing more and ends; the dial comes up, for nobody
+    await one.until("server.open == 0 and room.servers.open == 0")
+    assert len(one.server.statements) == 1
+
+
+@scene(room)
+async def test_a_busy_connection_of_a_server_that_left_ends_with_its_answer(one: Room) -> None:
+    await up(one)
+    job = Errand()
+    one.pool.launch(job)
+    one.servers.gone(1)  # written, not answered yet
+    assert await one.ended(job) is Outcome.SERVED
+    await one.until("server.open == 0 and room.servers.open == 0")
 
 
 def test_who_waits_at_an_old_address_is_told_once_the_new_one_stands() -> None:
@@ -196,15 +182,12 @@
     play(scene())
 
 
-def test_a_listing_that_says_the_same_changes_nothing() -> None:
-    async def scene() -> None:
-        async with room() as one:
-            await up(one)
-            pool = one.pool
-            one.servers.listed(1, pool.address)
-            assert one.pool is pool and len(pool.idle) == 1
-
-    play(scene())
+@scene(room)
+async def test_a_listing_that_says_the_same_changes_nothing(one: Room) -> None:
+    await up(one)
+    pool = one.pool
+    one.servers.listed(1, pool.address)
+    assert one.pool is pool and len(pool.idle) == 1
 
 
 @pytest.mark.parametrize("bytes_first", [True, False])
@@ -251,67 +234,55 @@
 
 
 @pytest.mark.parametrize("whole", [True, False])
-def test_a_reset_before_the_last_byte_never_ran_and_one_after_it_may_have(whole: bool) -> None:
-    async def scene() -> None:
-        async with room() as one:
-            one.server._server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-            await up(one)
-            (connection,) = one.pool.idle
-            connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
-            job = Errand() if whole else Errand(text=ASK * 4_000)  # more than is taken by a peer that hangs
-            one.server.mode = ["hang up"]
-            one.pool.launch(job)
-            if whole:
-                await one.until("server.statements")
-            else:
-                assert connection.stream.writing(), "not all of it is handed over"
-            one.server.release.set()  # the server ends without an answer
-            assert await one.ended(job) is (Outcome.RESET if whole else Outcome.NO_CONNECTION)
-
-    play(scene())
-
-
-def test_an_answer_after_it_was_given_up_is_nobodys() -> None:
-    async def scene() -> None:
-        async with room() as one:
-            await up(one)
-            one.server.mode = ["hang"]
-            job, other = Errand(), Errand()
-            one.pool.launch(job)
-            await one.until("server.statements")
-            one.pool.abandon(job)
-            assert not one.pool.busy
-            one.pool.launch(other)
-            one.server.release.set()
-            assert await one.ended(other) is Outcome.SERVED
-            assert not job.outcomes, "nothing is told of it"
-
-    play(scene())
-
-
-def test_one_who_gave_up_waiting_is_passed_over_and_a_refused_dial_ends_all_who_wait() -> None:
-    async def scene() -> None:
-        async with room() as one:
-            one.server._server.close()
-            await one.server._server.wait_closed()
-            gone, first, second = Errand(), Errand(), Errand()
-            for job in (gone, first, second):
-                one.pool.launch(job)
-            one.pool.abandon(gone)
-            assert await one.ended(first) is await one.ended(second) is Outcome.NO_CONNECTION
-            assert not gone.outcomes and not one.pool.waiting
-
-    play(scene())
-
-
-def test_who_waits_longer_than_a_dial_may_take_could_not_connect() -> None:
-    async def scene() -> None:
-        async with room(greets=False) as one:
-            job = Errand()
-            one.pool.launch(job)
-            one.pool.sweep(now_us())
-            assert not job.outcomes
-            one.pool.sweep(now_us() + round(20 * PATIENCE_S * 1e6))
-            assert job.outcomes == [Outcome.NO_CONNECTION]
-
-    play(scene())
+@scene(room)
+async def test_a_reset_before_the_last_byte_never_ran_and_one_after_it_may_have(one: Room, whole: bool) -> None:
+    one.server._server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    await up(one)
+    (connection,) = one.pool.idle
+    connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    job = Errand() if whole else Errand(text=ASK * 4_000)  # more than is taken by a peer that hangs
+    one.server.mode = ["hang up"]
+    one.pool.launch(job)
+    if whole:
+        await one.until("server.statements")
+    else:
+        assert connection.stream.writing(), "not all of it is handed over"
+    one.server.release.set()  # the server ends without an answer
+    assert await one.ended(job) is (Outcome.RESET if whole else Outcome.NO_CONNECTION)
+
+
+@scene(room)
+async def test_an_answer_after_it_was_given_up_is_nobodys(one: Room) -> None:
+    await up(one)
+    one.server.mode = ["hang"]
+    job, other = Errand(), Errand()
+    one.pool.launch(job)
+    await one.until("server.statements")
+    one.pool.abandon(job)
+    assert not one.pool.busy
+    one.pool.launch(other)
+    one.server.release.set()
+    assert await one.ended(other) is Outcome.SERVED
+    assert not job.outcomes, "nothing is told of it"
+
+
+@scene(room)
+async def test_one_who_gave_up_waiting_is_passed_over_and_a_refused_dial_ends_all_who_wait(one: Room) -> None:
+    one.server._server.close()
+    await one.server._server.wait_closed()
+    gone, first, second = Errand(), Errand(), Errand()
+    for job in (gone, first, second):
+        one.pool.launch(job)
+    one.pool.abandon(gone)
+    assert await one.ended(first) is await one.ended(second) is Outcome.NO_CONNECTION
+    assert not gone.outcomes and not one.pool.waiting
+
+
+@scene(room, greets=False)
+async def test_who_waits_longer_than_a_dial_may_take_could_not_connect(one: Room) -> None:
+    job = Errand()
+    one.pool.launch(job)
+    one.pool.sweep(now_us())
+    assert not job.outcomes
+    one.pool.sweep(now_us() + round(20 * PATIENCE_S * 1e6))
+    assert job.outcomes == [Outcome.NO_CONNECTION]
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -12,7 +12,8 @@
 
 from oatlink.protocols import pgwire as pg
 from tests.client_world import STARTUP, Peer, query
-from tests.platform_world import PATIENCE_S, World, play, world
+from tests.platform_world import PATIENCE_S, World, in_a_place, play, world
+from tests.scenes import scene
 from tests.test_platform_sockets import settled, sqlstate, value, view
 
 # Loaded in the place of a library: it waits at a gate in the midst of the imports, then loads the library itself.
@@ -86,104 +87,91 @@
     play(scene())
 
 
-def test_sigterm_again_and_again_up_to_the_last_moment_changes_nothing(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            client = await settled(one)
-            one.servers[0].mode = "held"
-            client.writer.write(pg.make_query(view()).encode())
-            seen = len(one.servers[0].statements)
-            await one.until(lambda: len(one.servers[0].statements) > seen)
-            one.signal(signal.SIGTERM)
-            await one.logged("stopping")
-
-            async def again() -> None:
-                # Not by the process's own method, which would take its end from under its watcher.
-                while one.process.returncode is None:
-                    with contextlib.suppress(ProcessLookupError):
-                        os.kill(one.process.pid, signal.SIGTERM)
-                        os.kill(one.process.pid, signal.SIGINT)
-                    await asyncio.sleep(0)
-
-            storm = asyncio.ensure_future(again())
-            one.servers[0].release.set()
-            assert value(await client.until_ready()) == b"value of 7f3a"
-            assert await client.closed()
-            client.writer.close()
-            await ended(one)
-            await storm
-            assert sum("stopping" in line for line in one.lines) == 1
-
-    play(scene())
-
-
-def test_sigterm_while_a_half_written_file_is_looked_at_again(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            client = await settled(one)
-            one.path.write_text('{"name": "n0", "list')
-            one.signal(signal.SIGHUP)
-            await one.logged("reload: ")
-            one.signal(signal.SIGTERM)
-            assert value(await client.ask(view())) == b"value of 7f3a"
-            assert await client.closed()
-            client.writer.close()
-            await ended(one)
-
-    play(scene())
-
-
-def test_a_client_that_reads_only_after_the_process_has_ended_finds_all_its_answers(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            await settled(one)
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-            sock.connect(one.address)
-            sock.setblocking(False)
-            peer, server = Peer(sock), one.servers[0]
-            server.mode = "held"
-            seen = len(server.statements)
-            peer.send(STARTUP + query(view("k0")))
-            await one.until(lambda: len(server.statements) > seen)
-            one.signal(signal.SIGTERM)
-            await one.logged("stopping")
-            peer.send(query(view("k1")), query(view("k2")))
-            server.release.set()
-            await ended(one)
-            found = await peer.answers()
-            assert found[:2] == ["", "value of k0"], "taken before, read whole after"
-            assert found[2:] in (["value of k1", "value of k2"], ["value of k1", "53300"], ["53300", "53300"])
-            sock.close()
-
-    play(scene())
-
-
-def test_an_id_that_is_asked_again_elsewhere_is_answered_by_its_own_servers_answer(tmp_path: Path) -> None:
+@scene(in_a_place, replicas=0)
+async def test_sigterm_again_and_again_up_to_the_last_moment_changes_nothing(one: World) -> None:
+    client = await settled(one)
+    one.servers[0].mode = "held"
+    client.writer.write(pg.make_query(view()).encode())
+    seen = len(one.servers[0].statements)
+    await one.until(lambda: len(one.servers[0].statements) > seen)
+    one.signal(signal.SIGTERM)
+    await one.logged("stopping")
+
+    async def again() -> None:
+        # Not by the process's own method, which would take its end from under its watcher.
+        while one.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(one.process.pid, signal.SIGTERM)
+                os.kill(one.process.pid, signal.SIGINT)
+            await asyncio.sleep(0)
+
+    storm = asyncio.ensure_future(again())
+    one.servers[0].release.set()
+    assert value(await client.until_ready()) == b"value of 7f3a"
+    assert await client.closed()
+    client.writer.close()
+    await ended(one)
+    await storm
+    assert sum("stopping" in line for line in one.lines) == 1
+
+
+@scene(in_a_place, replicas=0)
+async def test_sigterm_while_a_half_written_file_is_looked_at_again(one: World) -> None:
+    client = await settled(one)
+    one.path.write_text('{"name": "n0", "list')
+    one.signal(signal.SIGHUP)
+    await one.logged("reload: ")
+    one.signal(signal.SIGTERM)
+    assert value(await client.ask(view())) == b"value of 7f3a"
+    assert await client.closed()
+    client.writer.close()
+    await ended(one)
+
+
+@scene(in_a_place, replicas=0)
+async def test_a_client_that_reads_only_after_the_process_has_ended_finds_all_its_answers(one: World) -> None:
+    await settled(one)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.connect(one.address)
+    sock.setblocking(False)
+    peer, server = Peer(sock), one.servers[0]
+    server.mode = "held"
+    seen = len(server.statements)
+    peer.send(STARTUP + query(view("k0")))
+    await one.until(lambda: len(server.statements) > seen)
+    one.signal(signal.SIGTERM)
+    await one.logged("stopping")
+    peer.send(query(view("k1")), query(view("k2")))
+    server.release.set()
+    await ended(one)
+    found = await peer.answers()
+    assert found[:2] == ["", "value of k0"], "taken before, read whole after"
+    assert found[2:] in (["value of k1", "value of k2"], ["value of k1", "53300"], ["53300", "53300"])
+    sock.close()
+
+
+@scene(in_a_place, replicas=0)
+async def test_an_id_that_is_asked_again_elsewhere_is_answered_by_its_own_servers_answer(one: World) -> None:
     """The first client has left; both of the server's answers come together."""
-
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            await settled(one)
-            server = one.servers[0]
-            server.statements.clear()
-            server.mode = "held"
-            first = await one.client()
-            first.writer.write(pg.make_query(view("first", ident="feed")).encode())
-            await one.until(lambda: len(server.statements) == 1)
-            first.writer.close()
-            while True:
-                second = await one.client()
-                second.writer.write(pg.make_query(view("second", ident="feed")).encode())
-                answer = asyncio.ensure_future(second.until_ready())
-                await one.until(lambda answer=answer: answer.done() or len(server.statements) > 1)  # type: ignore[misc]
-                if not answer.done():
-                    break
-                assert sqlstate(answer.result()) == "42710", "the close has not been seen yet"
-                second.writer.close()
-            server.release.set()
-            assert value(await answer) == b"value of second"
-            assert value(await second.ask(view("third", ident="feed"))) == b"value of third", "and once"
-            assert [text.split(b"'")[1] for text in server.statements] == [b"first", b"second", b"third"]
-
-    play(scene())
+    await settled(one)
+    server = one.servers[0]
+    server.statements.clear()
+    server.mode = "held"
+    first = await one.client()
+    first.writer.write(pg.make_query(view("first", ident="feed")).encode())
+    await one.until(lambda: len(server.statements) == 1)
+    first.writer.close()
+    while True:
+        second = await one.client()
+        second.writer.write(pg.make_query(view("second", ident="feed")).encode())
+        answer = asyncio.ensure_future(second.until_ready())
+        await one.until(lambda answer=answer: answer.done() or len(server.statements) > 1)  # type: ignore[misc]
+        if not answer.done():
+            break
+        assert sqlstate(answer.result()) == "42710", "the close has not been seen yet"
+        second.writer.close()
+    server.release.set()
+    assert value(await answer) == b"value of second"
+    assert value(await second.ask(view("third", ident="feed"))) == b"value of third", "and once"
+    assert [text.split(b"'")[1] for text in server.statements] == [b"first", b"second", b"third"]
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -16,7 +16,8 @@
 from oatlink.platform.discovery import Discovery as Calls
 from oatlink.platform.discovery import News
 from oatlink.protocols import pgwire as pg
-from tests.platform_world import PATIENCE_S, ROOT, Client, Discovery, World, play, world
+from tests.platform_world import PATIENCE_S, ROOT, Client, Discovery, World, in_a_place, play, world
+from tests.scenes import scene
 
 COUNT = iter(range(1, 1 << 30))
 
@@ -53,33 +54,30 @@
     return client
 
 
-def test_requests_are_served_and_only_their_wait_is_rewritten(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            client = await one.connect()
-            ask = view("abc", wait_ms=1_800)
-            # SSL is declined; then the startup, an empty query and the first one come in one piece.
-            client.writer.write(pg.make_request(pg.SSL).encode())
-            assert await client.reader.readexactly(1) == b"N"
-            client.writer.write(
-                pg.make_startup({"user": "backend", "database": "store"}).encode()
-                + pg.make_query(b"").encode()
-                + pg.make_query(ask).encode()
-            )
-            await client.until_ready()
-            assert [got.kind for got in await client.until_ready()] == [b"I"]
-            assert value(await client.until_ready()) == b"value of abc"
-            got = [text for server in one.servers for text in server.statements]
-            assert len(got) == 1
-            before, _, behind = got[0].partition(b",d=")
-            wait, _, behind = behind.partition(b",")
-            assert before + b",d=1800," + behind == ask and 0 < int(wait) <= 1_800
-            written = post()
-            assert value(await client.ask(written)) == b"value of 7f3a"
-            assert one.servers[0].statements[-1].startswith(written[:20])
-            assert sum(server.connections for server in one.servers) <= 8
-
-    play(scene())
+@scene(in_a_place)
+async def test_requests_are_served_and_only_their_wait_is_rewritten(one: World) -> None:
+    client = await one.connect()
+    ask = view("abc", wait_ms=1_800)
+    # SSL is declined; then the startup, an empty query and the first one come in one piece.
+    client.writer.write(pg.make_request(pg.SSL).encode())
+    assert await client.reader.readexactly(1) == b"N"
+    client.writer.write(
+        pg.make_startup({"user": "backend", "database": "store"}).encode()
+        + pg.make_query(b"").encode()
+        + pg.make_query(ask).encode()
+    )
+    await client.until_ready()
+    assert [got.kind for got in await client.until_ready()] == [b"I"]
+    assert value(await client.until_ready()) == b"value of abc"
+    got = [text for server in one.servers for text in server.statements]
+    assert len(got) == 1
+    before, _, behind = got[0].partition(b",d=")
+    wait, _, behind = behind.partition(b",")
+    assert before + b",d=1800," + behind == ask and 0 < int(wait) <= 1_800
+    written = post()
+    assert value(await client.ask(written)) == b"value of 7f3a"
+    assert one.servers[0].statements[-1].startswith(written[:20])
+    assert sum(server.connections for server in one.servers) <= 8
 
 
 def test_a_client_library_goes_through_unchanged(tmp_path: Path) -> None:
@@ -103,106 +101,86 @@
 
 
 @pytest.mark.parametrize("mode", ["noise", "huge", "two rows", "no columns", "negative", "break", "error"])
-def test_a_spoilt_answer_is_a_failed_attempt_and_nothing_of_it_is_passed_on(tmp_path: Path, mode: str) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=1) as one:
-            client = await settled(one)
-            # The attempt may have run; a read goes again, a write within its window at its group's primary.
-            one.servers[1].mode = spoilt = [mode]
-            while spoilt:
-                assert value(await client.ask(view("abc"))) == b"value of abc"
-            one.servers[0].statements.clear()
-            one.servers[0].mode = [mode]
-            assert value(await client.ask(post())) == b"value of 7f3a"
-            assert len(one.servers[0].statements) == 2
-
-    play(scene())
+@scene(in_a_place, replicas=1)
+async def test_a_spoilt_answer_is_a_failed_attempt_and_nothing_of_it_is_passed_on(one: World, mode: str) -> None:
+    client = await settled(one)
+    # The attempt may have run; a read goes again, a write within its window at its group's primary.
+    one.servers[1].mode = spoilt = [mode]
+    while spoilt:
+        assert value(await client.ask(view("abc"))) == b"value of abc"
+    one.servers[0].statements.clear()
+    one.servers[0].mode = [mode]
+    assert value(await client.ask(post())) == b"value of 7f3a"
+    assert len(one.servers[0].statements) == 2
 
 
 @pytest.mark.parametrize("mode", ["behind", "twice"])
-def test_a_good_answer_with_more_behind_it_is_good_and_its_connection_is_dropped(tmp_path: Path, mode: str) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=1) as one:
-            client = await settled(one)
-            for server in one.servers:
-                server.mode = mode
-            for number in range(10):
-                assert value(await client.ask(view(f"k{number}"))) == f"value of k{number}".encode()
-            await one.until(lambda: sum(server.connections for server in one.servers) >= 10)
-
-    play(scene())
-
-
-def test_misses_and_refusals_of_servers_are_the_routers_and_never_relayed(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=1) as one:
-            client = await settled(one)
-            one.servers[0].primary, one.servers[1].primary = False, True
-            one.servers[0].mode = ["miss"]
-            assert value(await client.ask(post())) == b"value of 7f3a", "held until the new primary is known"
-            for server in one.servers:
-                server.mode = "error"
-            assert sqlstate(await client.ask(post())) == "58000", "it may have run"
-            assert sqlstate(await client.ask(view())) == "53300", "a read is harmless to try again"
-            for server in one.servers:
-                server.mode = "full"
-            refused = await client.ask(view(wait_ms=300))
-            fields = pg.fields(refused[0])
-            assert fields["C"] == "53300" and fields["M"] == "refused, try again" and int(fields["D"]) > 0
-
-    play(scene())
-
-
-def test_a_hung_server_costs_the_request_its_time_and_its_connection_is_closed(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            client = await settled(one)
-            one.servers[0].mode = ["hang"]
-            assert sqlstate(await client.ask(post(wait_ms=400))) == "58000", "it may have run: failed, not refused"
-            await one.until(lambda: one.servers[0].open <= 1)
-            assert value(await client.ask(post())) == b"value of 7f3a"
-
-    play(scene())
-
-
-def test_a_server_that_accepts_and_never_greets_could_not_connect(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0) as one:
-            one.servers[0].greets = False
-            client = await one.client()
-            assert sqlstate(await client.ask(post(wait_ms=700))) == "53300", (
-                "nothing was sent: trying again is harmless"
-            )
-            assert not one.servers[0].statements
-            one.servers[0].greets = True
-            assert value(await client.ask(post())) == b"value of 7f3a"
+@scene(in_a_place, replicas=1)
+async def test_a_good_answer_with_more_behind_it_is_good_and_its_connection_is_dropped(one: World, mode: str) -> None:
+    client = await settled(one)
+    for server in one.servers:
+        server.mode = mode
+    for number in range(10):
+        assert value(await client.ask(view(f"k{number}"))) == f"value of k{number}".encode()
+    await one.until(lambda: sum(server.connections for server in one.servers) >= 10)
+
+
+@scene(in_a_place, replicas=1)
+async def test_misses_and_refusals_of_servers_are_the_routers_and_never_relayed(one: World) -> None:
+    client = await settled(one)
+    one.servers[0].primary, one.servers[1].primary = False, True
+    one.servers[0].mode = ["miss"]
+    assert value(await client.ask(post())) == b"value of 7f3a", "held until the new primary is known"
+    for server in one.servers:
+        server.mode = "error"
+    assert sqlstate(await client.ask(post())) == "58000", "it may have run"
+    assert sqlstate(await client.ask(view())) == "53300", "a read is harmless to try again"
+    for server in one.servers:
+        server.mode = "full"
+    refused = await client.ask(view(wait_ms=300))
+    fields = pg.fields(refused[0])
+    assert fields["C"] == "53300" and fields["M"] == "refused, try again" and int(fields["D"]) > 0
+
+
+@scene(in_a_place, replicas=0)
+async def test_a_hung_server_costs_the_request_its_time_and_its_connection_is_closed(one: World) -> None:
+    client = await settled(one)
+    one.servers[0].mode = ["hang"]
+    assert sqlstate(await client.ask(post(wait_ms=400))) == "58000", "it may have run: failed, not refused"
+    await one.until(lambda: one.servers[0].open <= 1)
+    assert value(await client.ask(post())) == b"value of 7f3a"
 
-    play(scene())
 
+@scene(in_a_place, replicas=0)
+async def test_a_server_that_accepts_and_never_greets_could_not_connect(one: World) -> None:
+    one.servers[0].greets = False
+    client = await one.client()
+    assert sqlstate(await client.ask(post(wait_ms=700))) == "53300", "nothing was sent: trying again is harmless"
+    assert not one.servers[0].statements
+    one.servers[0].greets = True
+    assert value(await client.ask(post())) == b"value of 7f3a"
 
-def test_queries_of_a_connection_are_answered_in_order_and_a_close_ends_them(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            client = await settled(one)
-            client.writer.write(b"".join(pg.make_query(view(f"k{number}")).encode() for number in range(300)))
-            for number in range(300):
-                assert value(await client.until_ready()) == f"value of k{number}".encode()
-            for server in one.servers:
-                server.mode = "hang"
-            client.writer.write(pg.make_query(view(ident="feed")).encode())
-            other = await one.client()
-            await one.until(lambda: any(b"id=feed" in text for server in one.servers for text in server.statements))
-            assert sqlstate(await other.ask(view(ident="feed"))) == "42710"
-            client.writer.close()
-            for server in one.servers:
-                server.mode = "good"
-            again = await other.ask(view(ident="feed"))
-            while value(again) is None:  # the close is seen in a turn of its own
-                assert sqlstate(again) == "42710"
-                other = await one.client()
-                again = await other.ask(view(ident="feed"))
 
-    play(scene())
+@scene(in_a_place)
+async def test_queries_of_a_connection_are_answered_in_order_and_a_close_ends_them(one: World) -> None:
+    client = await settled(one)
+    client.writer.write(b"".join(pg.make_query(view(f"k{number}")).encode() for number in range(300)))
+    for number in range(300):
+        assert value(await client.until_ready()) == f"value of k{number}".encode()
+    for server in one.servers:
+        server.mode = "hang"
+    client.writer.write(pg.make_query(view(ident="feed")).encode())
+    other = await one.client()
+    await one.until(lambda: any(b"id=feed" in text for server in one.servers for text in server.statements))
+    assert sqlstate(await other.ask(view(ident="feed"))) == "42710"
+    client.writer.close()
+    for server in one.servers:
+        server.mode = "good"
+    again = await other.ask(view(ident="feed"))
+    while value(again) is None:  # the close is seen in a turn of its own
+        assert sqlstate(again) == "42710"
+        other = await one.client()
+        again = await other.ask(view(ident="feed"))
 
 
 BAD = {
@@ -257,50 +235,44 @@
     play(scene())
 
 
-def test_silent_clients_do_not_keep_others_out(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, sockets=64) as one:
-            await settled(one)
-            silent = [await one.connect() for _ in range(100)]
-            for each in silent[::2]:  # an empty query asks nothing, either
-                each.writer.write(pg.make_startup({"user": "u"}).encode() + pg.make_query(b"").encode())
-            client = await one.client()
-            assert value(await client.ask(view())) == b"value of 7f3a"
-            for each in silent:
-                assert await each.closed()
-
-    play(scene())
+@scene(in_a_place, sockets=64)
+async def test_silent_clients_do_not_keep_others_out(one: World) -> None:
+    await settled(one)
+    silent = [await one.connect() for _ in range(100)]
+    for each in silent[::2]:  # an empty query asks nothing, either
+        each.writer.write(pg.make_startup({"user": "u"}).encode() + pg.make_query(b"").encode())
+    client = await one.client()
+    assert value(await client.ask(view())) == b"value of 7f3a"
+    for each in silent:
+        assert await each.closed()
 
 
 def entries_without(one: World, number: int) -> list[dict[str, object]]:
     return [entry for entry in one.entries() if entry["id"] != f"s-{number}"]
 
 
-def test_the_list_is_followed_through_drains_failures_and_new_addresses(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            client = await settled(one)
-            entries = one.entries()
-            entries[1]["state"] = "terminating"
-            one.discovery.tell(entries)
-            await one.follows()
-            one.servers[1].statements.clear()
-            for mode in ("noise", "503", "good"):
-                one.discovery.mode = mode
-                one.discovery.tell(entries)
-                failed = len(one.lines)
-                await one.until(lambda failed=failed, mode=mode: mode == "good" or len(one.lines) > failed)  # type: ignore[misc]
-                for _ in range(10):
-                    assert value(await client.ask(view())) == b"value of 7f3a", "the list it had stands"
-            assert not one.servers[1].statements, "nothing is sent to what drains"
-            # The two that are left go; the one that drained comes back, as primary, under a new address.
-            one.servers[1].primary = True
-            one.discovery.tell([one.entries()[1] | {"id": "s-new"}])
-            await one.follows()
-            assert value(await client.ask(post())) == b"value of 7f3a"
-            assert len(one.servers[1].statements) == 1
-
-    play(scene())
+@scene(in_a_place)
+async def test_the_list_is_followed_through_drains_failures_and_new_addresses(one: World) -> None:
+    client = await settled(one)
+    entries = one.entries()
+    entries[1]["state"] = "terminating"
+    one.discovery.tell(entries)
+    await one.follows()
+    one.servers[1].statements.clear()
+    for mode in ("noise", "503", "good"):
+        one.discovery.mode = mode
+        one.discovery.tell(entries)
+        failed = len(one.lines)
+        await one.until(lambda failed=failed, mode=mode: mode == "good" or len(one.lines) > failed)  # type: ignore[misc]
+        for _ in range(10):
+            assert value(await client.ask(view())) == b"value of 7f3a", "the list it had stands"
+    assert not one.servers[1].statements, "nothing is sent to what drains"
+    # The two that are left go; the one that drained comes back, as primary, under a new address.
+    one.servers[1].primary = True
+    one.discovery.tell([one.entries()[1] | {"id": "s-new"}])
+    await one.follows()
+    assert value(await client.ask(post())) == b"value of 7f3a"
+    assert len(one.servers[1].statements) == 1
 
 
 def test_a_crowded_discoverys_late_answer_is_taken() -> None:
@@ -320,61 +292,52 @@
     play(scene())
 
 
-def test_sighup_follows_the_new_discovery_and_a_half_written_file_changes_nothing(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            client = await settled(one)
-            async with type(one.discovery)() as other:
-                other.entries, other.version = one.entries(), 9
-                one.path.write_text('{"name": "n0", "list')
-                one.signal(signal.SIGHUP)
-                await one.logged("reload: ")
-                assert value(await client.ask(view())) == b"value of 7f3a"
-                one.write(other.address)
-                await one.until(lambda: bool(other.calls))
-                seen = len(one.discovery.calls)
-                assert value(await client.ask(post())) == b"value of 7f3a"
-                await one.until(lambda: len(other.calls) >= 3)
-                assert len(one.discovery.calls) == seen, "the old one is let go"
-
-    play(scene())
-
-
-def test_sigterm_answers_what_was_taken_and_ends(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            client, idle = await settled(one), await one.client()
-            for server in one.servers:
-                server.mode = "hang"
-            client.writer.write(pg.make_query(view()).encode())
-            await one.until(lambda: sum(server.open for server in one.servers) > 0)
-            one.signal(signal.SIGTERM)
-            await one.logged("stopping")
-            late = await one.client()  # for a while connections still come
-            for server in one.servers:
-                server.mode = "good"
-                server.release.set()
-            assert value(await late.ask(view())) == b"value of 7f3a"
-            assert len(await client.until_ready()) in (1, 3), "answered, though its server hung"
-            assert await idle.closed() and await client.closed() and await late.closed()
-            async with asyncio.timeout(PATIENCE_S):
-                assert await one.process.wait() == 0
-
-    play(scene())
-
-
-def test_after_a_kill_it_starts_from_nothing_but_the_file(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path) as one:
-            await settled(one)
-            one.write(one.discovery.address)
-            await one.stop()
-            one.lines.clear()
-            one.discovery.mode = "hang"
-            await one.start()
-            await settled(one)
-
-    play(scene())
+@scene(in_a_place)
+async def test_sighup_follows_the_new_discovery_and_a_half_written_file_changes_nothing(one: World) -> None:
+    client = await settled(one)
+    async with type(one.discovery)() as other:
+        other.entries, other.version = one.entries(), 9
+        one.path.write_text('{"name": "n0", "list')
+        one.signal(signal.SIGHUP)
+        await one.logged("reload: ")
+        assert value(await client.ask(view())) == b"value of 7f3a"
+        one.write(other.address)
+        await one.until(lambda: bool(other.calls))
+        seen = len(one.discovery.calls)
+        assert value(await client.ask(post())) == b"value of 7f3a"
+        await one.until(lambda: len(other.calls) >= 3)
+        assert len(one.discovery.calls) == seen, "the old one is let go"
+
+
+@scene(in_a_place)
+async def test_sigterm_answers_what_was_taken_and_ends(one: World) -> None:
+    client, idle = await settled(one), await one.client()
+    for server in one.servers:
+        server.mode = "hang"
+    client.writer.write(pg.make_query(view()).encode())
+    await one.until(lambda: sum(server.open for server in one.servers) > 0)
+    one.signal(signal.SIGTERM)
+    await one.logged("stopping")
+    late = await one.client()  # for a while connections still come
+    for server in one.servers:
+        server.mode = "good"
+        server.release.set()
+    assert value(await late.ask(view())) == b"value of 7f3a"
+    assert len(await client.until_ready()) in (1, 3), "answered, though its server hung"
+    assert await idle.closed() and await client.closed() and await late.closed()
+    async with asyncio.timeout(PATIENCE_S):
+        assert await one.process.wait() == 0
+
+
+@scene(in_a_place)
+async def test_after_a_kill_it_starts_from_nothing_but_the_file(one: World) -> None:
+    await settled(one)
+    one.write(one.discovery.address)
+    await one.stop()
+    one.lines.clear()
+    one.discovery.mode = "hang"
+    await one.start()
+    await settled(one)
 
 
 def test_a_stream_is_at_rest_only_while_nothing_has_come_unseen() -> None:
