--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -149,3 +149,30 @@
         one.signal(signal.SIGTERM)
         assert await other.closed()
         assert await one.process.wait() == 0
+
+
+@scene(in_a_place, replicas=1, running=False)
+async def test_discovery_is_down_at_the_start_and_at_sighup_and_what_it_says_at_its_return_counts(one: World) -> None:
+    async with type(one.discovery)() as dead, type(one.discovery)() as later:
+        dead._server.close()
+        later._server.close()
+        one.write(dead.address)
+        await one.start()
+        try:
+            client = await settled(one)
+            await one.logged("discovery: /v1/endpoints")
+            one.write(later.address)
+            one.signal(signal.SIGHUP)
+            await one.logged("reload: ")
+            assert value(await client.ask(view())) == b"value of 7f3a", "the list it had stands"
+            later.entries, later.version = [entry | {"state": "terminating"} for entry in one.entries()[1:]], 7
+            later.entries += one.entries()[:1]
+            host, _, port = later.address.rpartition(":")
+            later._server = await asyncio.start_server(later._serve, host, int(port))
+            await one.until(lambda: any("since=7&" in call for call in later.calls))
+            one.servers[1].statements.clear()
+            for _ in range(10):
+                assert value(await client.ask(view())) == b"value of 7f3a"
+            assert not one.servers[1].statements, "it drains"
+        finally:
+            await one.stop()
