--- a/tests/fleet/leases_world.py
+++ b/tests/fleet/leases_world.py
@@ -27,9 +27,8 @@
 
     def start(self) -> None:
         self.incarnation += 1
-        self.lease = self.world.holder(
-            "lease", self.name, self.incarnation, TERM_US, self.world.drift, self.world.seed, self.rank
-        )
+        world, us = self.world, (self.name, self.incarnation)
+        self.lease = world.holder("lease", *us, TERM_US, world.drift, world.seed, self.rank)
         self.lease.wanting = True
         self.plans = 0
         self.wake(self.incarnation, 0)
--- a/tests/fleet/limits_world.py
+++ b/tests/fleet/limits_world.py
@@ -48,9 +48,8 @@
         self.drift = drift
         self.now = 0
         self.names = tuple(f"n{number}" for number in range(nodes))
-        self.machines = {
-            name: Machine(name, 1 + drift * self.draw.uniform(-1, 1), self.draw.randrange(10**9)) for name in self.names
-        }
+        clocks = [(1 + drift * self.draw.uniform(-1, 1), self.draw.randrange(10**9)) for _ in self.names]
+        self.machines = {name: Machine(name, *clock) for name, clock in zip(self.names, clocks, strict=True)}
         self.links: list[tuple[int, int, str, str, Tell]] = []
         self.sent = 0
         self.lost, self.doubled, self.slowest_us, self.way_us = 0.0, 0.0, 2_000, 1_000
@@ -211,10 +210,8 @@
 
     def served(self, name: str, since: int, until: int, node: str = "") -> float:
         """Requests a second that were let in between two true times."""
-        count = sum(
-            1 for at, which, who in self.admitted if which == name and since < at <= until and node in ("", who)
-        )
-        return count * 1e6 / (until - since)
+        mine = [at for at, which, who in self.admitted if which == name and node in ("", who)]
+        return sum(since < at <= until for at in mine) * 1e6 / (until - since)
 
 
 FAULTS = ("crash", "restart", "stop", "cut", "no lease", "loss", "slow", "greed", "greed of one")
--- a/tests/fleet/registers_world.py
+++ b/tests/fleet/registers_world.py
@@ -125,10 +125,7 @@
     def act(self) -> None:
         world, key = self.world, self.world.rng.choice(self.world.keys)
         if len(self.open) < 2:
-            if world.rng.random() < world.reads:
-                self.ask(key, -1)
-            else:
-                self.ask(key, self.known.get(key, 0))
+            self.ask(key, -1 if world.rng.random() < world.reads else self.known.get(key, 0))
 
     def ask(self, key: str, fence: int) -> Asked:
         self.asks += 1
@@ -203,10 +200,8 @@
         for _ in range(2 if self.rng.random() < self.doubled else 1):
             cut = tell.to == self.blind.get(sender) or sender == self.blind.get(tell.to)
             if not cut and self.rng.random() >= self.loss:
-                delay = (
-                    self.rng.randrange(self.slow_us) if self.rng.random() < self.slow else self.rng.randrange(1, 2 * MS)
-                )
-                self.later(delay, lambda: self.nodes[tell.to].take(sender, tell.message))
+                span = (self.slow_us,) if self.rng.random() < self.slow else (1, 2 * MS)
+                self.later(self.rng.randrange(*span), lambda: self.nodes[tell.to].take(sender, tell.message))
 
     def run(self, span: int) -> None:
         end = self.now + span
--- a/tests/fleet/test_leases.py
+++ b/tests/fleet/test_leases.py
@@ -1,6 +1,7 @@
 """Never two holders, whatever stops, drifts or gets lost; and each guard, taken out, is missed."""
 
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 import pytest
@@ -99,25 +100,17 @@
         return lease is not None and not lease.released and lease.node == self._node
 
 
-def hasty(key: str, node: str, incarnation: int, term_us: int, drift: float, seed: int, rank: int) -> Holder:
-    holder = Holder(key, node, incarnation, term_us, drift, seed, rank)
-    holder._observer = Hasty(drift)
-    return holder
-
-
-@pytest.mark.parametrize(
-    "make",
-    [
-        hasty,
-        CountsFromAnswer,
-        SeenWhenAsked,
-        ReleasesAtTheAnswer,
-        RemembersAfterRelease,
-        CountsTheUnknown,
-        KeepsItsFence,
-        AnyIncarnation,
-    ],
-)
+def hasty(*given: Any) -> Holder:
+    one = Holder(*given)
+    one._observer = Hasty(given[4])  # the drift
+    return one
+
+
+AT_A_RELEASE = (ReleasesAtTheAnswer, RemembersAfterRelease)
+OTHERS = (CountsFromAnswer, SeenWhenAsked, CountsTheUnknown, KeepsItsFence, AnyIncarnation)
+
+
+@pytest.mark.parametrize("make", [hasty, *AT_A_RELEASE, *OTHERS])
 def test_a_guard_taken_out_is_found(make: Make) -> None:
     names = ("n0", "n0", "n1") if make is AnyIncarnation else ("n0", "n1", "n2")
     assert any(play(seed, make, names).wrong for seed in range(300))
--- a/tests/fleet/versions_world.py
+++ b/tests/fleet/versions_world.py
@@ -57,9 +57,8 @@
         return versions
 
     def mark(self) -> bytes | None:
-        return (
-            marker.written(self.log[-1][1][1], self.log[-1][1][2], self.log[-1][1][0] == "seal") if self.log else None
-        )
+        what, number, version, _, _ = self.log[-1][1] if self.log else ("", 0, 0, "", False)
+        return marker.written(number, version, what == "seal") if self.log else None
 
     def write(self, *ops: Op) -> None:
         self.offset += 10
@@ -411,12 +410,9 @@
         return [one for one in bank.members if mark is None or applied(one.place(), mark)]
 
     def judge_served(self) -> None:
-        versions = {
-            version
-            for node in self.nodes.values()
-            if node.up and node.layouts.served and node.clock() < node.layouts.served.until_us
-            for version in node.layouts.served.versions
-        }
+        said = [(node, node.layouts.served) for node in self.nodes.values() if node.up]
+        here = [served for node, served in said if served and node.clock() < served.until_us]
+        versions = {version for served in here for version in served.versions}
         if versions and max(versions) - min(versions) > 1:
             raise Violation(f"versions {sorted(versions)} are served at once")
 
@@ -437,10 +433,8 @@
 
     def propose(self, node: Node, stay_ms: int = 0, first: str = "") -> None:
         base = self.known().old
-        shards = {
-            bank: {"expand": [["SET", bank, "1"]], "after": [first] if first not in ("", bank) else []}
-            for bank in BANKS
-        }
+        after = {bank: [first] if first not in ("", bank) else [] for bank in BANKS}
+        shards = {bank: {"expand": [["SET", bank, "1"]], "after": after[bank]} for bank in BANKS}
         text = msgspec.json.encode({"version": base + 1, "base": base, "shards": shards, "stay_ms": stay_ms})
         self.do(node, node.sequencer.propose(1, text, node.clock()))
 
