--- a/tests/fleet/test_envelope.py
+++ b/tests/fleet/test_envelope.py
@@ -79,14 +79,8 @@
     assert envelope.read_hello(envelope.Seal(KEY, NONCE, "a", 1).seal(1, envelope.encode(hello))[4:]) is None
 
 
-SENDERS = [
-    envelope.Seal(OTHER, NONCE, "a", 1),
-    envelope.Seal(KEY, NONCE[::-1], "a", 1),
-    envelope.Seal(KEY, NONCE, "b", 1),
-    envelope.Seal(KEY, NONCE, "a", 11),
-    envelope.Seal(KEY, NONCE, "a1", 1),
-    envelope.Seal(KEY, NONCE, "", 1),
-]
+OTHERS = [(OTHER, NONCE, "a", 1), (KEY, NONCE[::-1], "a", 1), (KEY, NONCE, "b", 1), (KEY, NONCE, "a", 11)]
+SENDERS = [envelope.Seal(*one) for one in (*OTHERS, (KEY, NONCE, "a1", 1), (KEY, NONCE, "", 1))]
 
 
 @given(st.binary(max_size=100), st.integers(0, 2**64 - 1), st.integers(0, 10_000), st.integers(1, 255))
@@ -107,14 +101,9 @@
 
     class Careless(envelope.Seal):
         def __init__(self, key: bytes, nonce: bytes, node: str, incarnation: int) -> None:
-            super().__init__(
-                KEY if part == "key" else key,
-                NONCE if part == "nonce" else nonce,
-                "a" if part == "name" else node,
-                1 if part == "incarnation" else incarnation,
-            )
+            nonce, node = NONCE if part == "nonce" else nonce, "a" if part == "name" else node
+            super().__init__(KEY if part == "key" else key, nonce, node, 1 if part == "incarnation" else incarnation)
 
     frame = Careless(KEY, NONCE, "a", 1).seal(3, b"x")[4:]
-    others = [(OTHER, NONCE, "a", 1), (KEY, NONCE[::-1], "a", 1), (KEY, NONCE, "b", 1), (KEY, NONCE, "a", 11)]
-    passed = [Careless(*one).opened(frame) is not None for one in others]
+    passed = [Careless(*one).opened(frame) is not None for one in OTHERS]
     assert passed == [part == one for one in ("key", "nonce", "name", "incarnation")]
--- a/tests/fleet/test_gated.py
+++ b/tests/fleet/test_gated.py
@@ -122,9 +122,8 @@
         one.end(send, [b"$-1\r\n"])
     engine = restore(take(one.engine, one.now), LIMITED)
     given = [m.Asked(1, [b"GET", PLAIN.encode()]) for _ in range(30)]
-    assert [engine.handle(one_given, one.now) for one_given in given] == [
-        one.engine.handle(one_given, one.now) for one_given in given
-    ]
+    restored = [engine.handle(one_given, one.now) for one_given in given]
+    assert restored == [one.engine.handle(one_given, one.now) for one_given in given]
     assert one.engine.counts["over_quota"] > 5
 
 
--- a/tests/fleet/test_quota_judge.py
+++ b/tests/fleet/test_quota_judge.py
@@ -16,14 +16,9 @@
 
 def all_windows(done: list[Done], rate: float, burst: float) -> float:
     """The same by trying every window."""
-    return max(
-        sum(weight for low, high, weight in done if begin <= low and high <= end)
-        - burst
-        - rate * (end - begin) / SECOND
-        for begin, _, _ in done
-        for _, end, _ in done
-        if begin <= end
-    )
+    spans = [(begin, end) for begin, _, _ in done for _, end, _ in done if begin <= end]
+    inside = [sum(weight for low, high, weight in done if begin <= low and high <= end) for begin, end in spans]
+    return max(n - burst - rate * (end - begin) / SECOND for n, (begin, end) in zip(inside, spans, strict=True))
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -123,17 +118,10 @@
     assert len(one.used) == 2 and len(one.floors) == 1 and one.back_s and one.back_s[0] < 1
 
 
-@pytest.mark.parametrize(
-    ("lie", "rule"),
-    [
-        ("free", "never_over"),
-        ("cheap_multi", "never_over"),
-        ("no_time", "told"),
-        ("idle", "used"),
-        ("no_floor", "floor"),
-        ("slow_back", "back"),
-    ],
-)
+LIES = [("free", "never_over"), ("cheap_multi", "never_over"), ("no_time", "told"), ("idle", "used")]
+
+
+@pytest.mark.parametrize(("lie", "rule"), [*LIES, ("no_floor", "floor"), ("slow_back", "back")])
 def test_each_broken_bound_is_found_and_no_other(lie: str, rule: str) -> None:
     found = day(lie, multi=lie == "cheap_multi")
     assert [name for name, texts in found.broken.items() if texts] == [rule], found.broken
--- a/tests/fleet/test_verdicts.py
+++ b/tests/fleet/test_verdicts.py
@@ -28,9 +28,8 @@
         self.draw = random.Random(seed)
         self.names = names = tuple(f"gateway-{n}" for n in range(size))
         self.nodes = {one: Spread(one, 1, names, seed * 1000 + n, DRIFT) for n, one in enumerate(names)}
-        self.clocks = {
-            one: (self.draw.randrange(10**9), self.draw.uniform(1 / (1 + DRIFT), 1 + DRIFT)) for one in names
-        }
+        clocks = [(self.draw.randrange(10**9), self.draw.uniform(1 / (1 + DRIFT), 1 + DRIFT)) for _ in names]
+        self.clocks = dict(zip(names, clocks, strict=True))
         self.now = self.cut = self.sent = self.most_bytes = 0
         self.way: dict[int, list[tuple[str, str, Gossip]]] = {}
         self.at: dict[tuple[str, int], dict[str, int]] = {}  # who knew a word when
--- a/tests/fleet/test_versions_judge.py
+++ b/tests/fleet/test_versions_judge.py
@@ -99,19 +99,11 @@
     made.capture.applied = [one for one in made.capture.applied if one.at_us != 3_050 * MS]
 
 
-@pytest.mark.parametrize(
-    ("lie", "rule"),
-    [
-        (early, "expanded"),
-        (forgotten, "expanded"),
-        (late, "not_contracted"),
-        (still_out, "not_contracted"),
-        (undone, "not_contracted"),
-        (skipped, "two_at_most"),
-        (silent, "told"),
-        (unfinished, "done"),
-    ],
-)
+RULES = {early: "expanded", forgotten: "expanded", late: "not_contracted", still_out: "not_contracted"}
+RULES |= {undone: "not_contracted", skipped: "two_at_most", silent: "told", unfinished: "done"}
+
+
+@pytest.mark.parametrize(("lie", "rule"), RULES.items())
 def test_each_broken_rule_is_found_and_no_other(lie: object, rule: str) -> None:
     made = good()
     lie(made)  # type: ignore[operator]
