--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -33,6 +34,17 @@
         one.reached(one.at(address), 500, now, "run", probe=True)
 
 
+def both_good() -> Paths:
+    one = paths(UNIX, FOUR)
+    good(one, 0, UNIX, FOUR)
+    return one
+
+
+@pytest.fixture
+def one() -> Paths:
+    return both_good()
+
+
 def current(one: Paths, now: int) -> str:
     return one.paths[one.choose(now)].address
 
@@ -52,9 +64,7 @@
     assert [one.paths[at].address for at in one.order(10 * FIRST_PAUSE_US)][-1] == UNIX
 
 
-def test_a_path_that_lags_comes_after_those_that_do_not() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_a_path_that_lags_comes_after_those_that_do_not(one: Paths) -> None:
     for _ in range(20):
         one.reached(0, 30_000, 1, "run", probe=True)
     assert [one.paths[at].address for at in one.order(2)] == [FOUR, UNIX]
@@ -143,9 +153,7 @@
     assert not alone.only_the_path(0, "reset", 1, 2)
 
 
-def test_a_silent_path_is_asked_then_cut_and_a_slow_box_is_neither() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_a_silent_path_is_asked_then_cut_and_a_slow_box_is_neither(one: Paths) -> None:
     look = one.handed(0, 1_000)
     assert look == 1_000 + HUSH_LEAST_US
     asked, cut, again = one.look(0, look)
@@ -159,8 +167,7 @@
     one.failed(0, "silent", last)
     assert one.paths[0].state is State.FAILED and current(one, last) == FOUR
 
-    slow = paths(UNIX, FOUR)
-    good(slow, 0, UNIX, FOUR)
+    slow = both_good()
     look, hushes = slow.handed(0, 1_000), []
     while look < 3_000_000:
         asked, cut, again = slow.look(0, look)
@@ -172,17 +179,14 @@
     gaps = [after - before for before, after in zip(hushes, hushes[1:], strict=False)]
     assert len(hushes) < 10 and gaps[-1] > 4 * gaps[0]
 
-    hung = paths(UNIX, FOUR)
-    good(hung, 0, UNIX, FOUR)
+    hung = both_good()
     look = hung.handed(0, 1_000)
     for _ in range(20):
         _, cut, look = hung.look(0, look)
         assert not cut  # nobody answers: it may be the box, and the error rules have the word
 
 
-def test_a_process_that_is_late_itself_cuts_nothing() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_a_process_that_is_late_itself_cuts_nothing(one: Paths) -> None:
     _, _, again = one.look(0, one.handed(0, 1_000))
     # The process stood still for a second: both paths have answered, and the other one's is read first.
     now = again + 1_000_000
@@ -195,9 +199,7 @@
     assert not cut and one.paths[0].state is State.GOOD
 
 
-def test_what_came_over_a_path_counts_as_life_however_much_is_out() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_what_came_over_a_path_counts_as_life_however_much_is_out(one: Paths) -> None:
     look = one.handed(0, 0)
     for turn in range(1, 400):
         one.handed(0, turn * 1_000)
@@ -209,9 +211,7 @@
             assert look <= turn * 1_000 + HUSH_MOST_US
 
 
-def test_a_path_that_answers_probes_and_loses_requests_is_held_out() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_a_path_that_answers_probes_and_loses_requests_is_held_out(one: Paths) -> None:
     now, held = 0, []
     for _ in range(4):
         for _ in range(LOST_MOST):
@@ -230,9 +230,7 @@
     assert one.paths[0].lost == 0
 
 
-def test_one_break_is_one_loss_however_much_was_on_it() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_one_break_is_one_loss_however_much_was_on_it(one: Paths) -> None:
     for at in range(50):
         one.handed(0, 1_000 + at)
     for at in range(50):
@@ -240,9 +238,7 @@
     assert one.paths[0].lost == 1 and one.paths[0].state is State.SUSPECT and one.paths[0].out == 0
 
 
-def test_another_list_keeps_what_is_known_of_the_addresses_that_stay() -> None:
-    one = paths(UNIX, FOUR)
-    good(one, 0, UNIX, FOUR)
+def test_another_list_keeps_what_is_known_of_the_addresses_that_stay(one: Paths) -> None:
     one.choose(0)
     one.relisted([(SIX, "", 0), (UNIX, "b", 100)])
     assert [path.address for path in one.paths] == [SIX, UNIX] and one.paths[1].state is State.GOOD
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -144,6 +144,11 @@
         return b"".join(self.answers.pop(client, []))
 
 
+@pytest.fixture
+def rig() -> Rig:
+    return Rig()
+
+
 def met(box: str, said: bytes, now_us: int) -> m.Dialled:
     """A connection that nobody waits for any more has shown what its box says."""
     address = {"p": "127.0.0.1:1001", "r": "127.0.0.1:1002"}[box]
@@ -155,30 +160,26 @@
     return one
 
 
-def test_a_write_goes_to_the_primary_and_its_answer_comes_back() -> None:
-    rig = Rig()
+def test_a_write_goes_to_the_primary_and_its_answer_comes_back(rig: Rig) -> None:
     send = sent(rig.ask("SET", PLAIN, 1))
     assert send.box == "p" and send.payload == command("SET", PLAIN, 1) and send.run_id == "p"
     rig.end(send)
     assert rig.text() == b"+OK\r\n"
 
 
-def test_a_bounded_read_goes_to_a_replica_and_a_current_one_to_the_primary() -> None:
-    rig = Rig()
+def test_a_bounded_read_goes_to_a_replica_and_a_current_one_to_the_primary(rig: Rig) -> None:
     rig.end(sent(rig.ask("GET", KEY)))  # the first one takes the first member whose answer is in
     assert sent(rig.ask("GET", KEY)).box in ("r", "s")
     assert sent(rig.ask("GET", PLAIN)).box == "p"
 
 
-def test_a_replica_that_lags_is_not_asked_however_fast_it_answers() -> None:
-    rig = Rig()
+def test_a_replica_that_lags_is_not_asked_however_fast_it_answers(rig: Rig) -> None:
     rig.says["r"] = rig.says["s"] = info("replica", 50, run="r")
     rig.says["p"] = info("primary", 100, run="p")
     assert sent(rig.ask("GET", KEY)).box == "p"
 
 
-def test_bounded_reads_use_every_replica() -> None:
-    rig = Rig()
+def test_bounded_reads_use_every_replica(rig: Rig) -> None:
     rig.end(sent(rig.ask("GET", KEY)))
     boxes = set()
     for _ in range(40):
@@ -189,8 +190,7 @@
     assert boxes == {"r", "s"}
 
 
-def test_answers_leave_in_order_and_one_slot_keeps_its_order() -> None:
-    rig = Rig()
+def test_answers_leave_in_order_and_one_slot_keeps_its_order(rig: Rig) -> None:
     first = sent(rig.ask("SET", PLAIN, 1))
     assert rig.ask("GET", PLAIN) is None  # waits for the write before it
     other = sent(rig.ask("GET", OTHER))  # another slot does not
@@ -202,22 +202,20 @@
     assert rig.text() == b"$1\r\n1\r\n$1\r\nx\r\n"
 
 
-def test_a_sessions_own_write_binds_its_reads_and_no_one_elses() -> None:
-    rig = Rig()
+def test_a_sessions_own_write_binds_its_reads_and_no_one_elses(rig: Rig) -> None:
     rig.end(sent(rig.ask("SET", OWN, 1)))
     rig.says["p"] = info("primary", 150, run="p")  # the write is at 101 to 150; the replicas are at 100
     assert sent(rig.ask("GET", OWN)).box == "p"
     assert sent(rig.ask("GET", OWN, client=2)).box in ("r", "s")
 
 
-def test_an_unsafe_write_that_may_have_run_is_failed_and_not_sent_again() -> None:
-    rig = Rig()
-    rig.end(sent(rig.ask("SET", PLAIN, 1)), how="reset")
+@pytest.mark.parametrize("words", [("SET", PLAIN, 1), ("XADD", PLAIN, "*", "f", "v")], ids=["set", "no key"])
+def test_an_unsafe_write_that_may_have_run_is_failed_and_not_sent_again(rig: Rig, words: tuple[str | int, ...]) -> None:
+    rig.end(sent(rig.ask(*words)), how="reset")
     assert rig.text().startswith(b"-ERR failed") and len(rig.sent) == 1
 
 
-def test_an_unsafe_write_that_never_ran_is_sent_again() -> None:
-    rig = Rig()
+def test_an_unsafe_write_that_never_ran_is_sent_again(rig: Rig) -> None:
     send = sent(rig.ask("SET", PLAIN, 1))
     rig.says["p"], rig.says["r"] = b"", info("primary", 100, "h2", "r", "h1", 101)
     rig.end(send, [b"-READONLY You can't write against a read only replica.\r\n"])
@@ -227,8 +225,7 @@
     assert rig.text() == b"+OK\r\n"
 
 
-def test_a_keyed_write_is_sent_again_inside_its_window_only() -> None:
-    rig = Rig()
+def test_a_keyed_write_is_sent_again_inside_its_window_only(rig: Rig) -> None:
     send = sent(rig.ask("XADD", PLAIN, "IDMP", "me", "k1", "*", "f", "v"))
     rig.says["p"] = b""
     rig.end(send, how="reset")
@@ -243,14 +240,7 @@
     assert all(one.until_us <= 1_002_000_000 for one in rig.sent[1:])
 
 
-def test_the_same_command_without_a_key_is_unsafe() -> None:
-    rig = Rig()
-    rig.end(sent(rig.ask("XADD", PLAIN, "*", "f", "v")), how="reset")
-    assert rig.text().startswith(b"-ERR failed")
-
-
-def test_writes_are_held_over_an_election_and_then_served() -> None:
-    rig = Rig()
+def test_writes_are_held_over_an_election_and_then_served(rig: Rig) -> None:
     rig.end(sent(rig.ask("SET", PLAIN, 0)))
     rig.text()
     rig.says["p"] = b""
@@ -262,8 +252,7 @@
     assert rig.sent[-1].box == "r"
 
 
-def test_every_request_is_answered_before_its_time_is_up() -> None:
-    rig = Rig()
+def test_every_request_is_answered_before_its_time_is_up(rig: Rig) -> None:
     rig.ask("SET", PLAIN, 1)
     rig.ask("GET", PLAIN)
     rig.ask("GET", KEY)
@@ -276,8 +265,7 @@
     assert rig.text() == b""
 
 
-def test_a_waiting_command_past_its_time_is_refused_for_it_never_ran() -> None:
-    rig = Rig()
+def test_a_waiting_command_past_its_time_is_refused_for_it_never_ran(rig: Rig) -> None:
     rig.ask("SET", KEY, 1)
     rig.ask("GET", KEY)
     rig.pass_us(2_100_000)
@@ -285,8 +273,7 @@
     assert rig.text().startswith(b"+OK\r\n-TRYAGAIN refused, nothing was run")
 
 
-def test_a_box_that_started_again_is_a_new_member_with_nothing_proven() -> None:
-    rig = Rig()
+def test_a_box_that_started_again_is_a_new_member_with_nothing_proven(rig: Rig) -> None:
     rig.end(sent(rig.ask("GET", KEY)), [b"$-1\r\n"])
     boxes = rig.engine._boxes
     old = boxes["r"].member
@@ -296,8 +283,7 @@
     assert old not in members and members[boxes["r"].member].position_us < 0
 
 
-def test_a_full_resynchronisation_takes_a_position_back() -> None:
-    rig = Rig()
+def test_a_full_resynchronisation_takes_a_position_back(rig: Rig) -> None:
     rig.ask("GET", KEY)
     old = rig.engine._boxes["r"].member
     rig.now += 1_000
@@ -305,8 +291,7 @@
     assert rig.engine._boxes["r"].member != old
 
 
-def test_an_old_primary_on_its_island_is_not_believed() -> None:
-    rig = Rig()
+def test_an_old_primary_on_its_island_is_not_believed(rig: Rig) -> None:
     rig.end(sent(rig.ask("SET", PLAIN, 0)))
     rig.now += 10_000
     rig.give(met("r", info("primary", 100, "h2", "r", "h1", 101), rig.now))
@@ -317,8 +302,7 @@
     assert found is not None and found.role is Role.UNKNOWN
 
 
-def test_nothing_new_goes_to_a_draining_member() -> None:
-    rig = Rig()
+def test_nothing_new_goes_to_a_draining_member(rig: Rig) -> None:
     rig.list(r="terminating")
     for _ in range(30):
         send = sent(rig.ask("GET", KEY))
@@ -329,8 +313,7 @@
     assert sent(rig.ask("GET", KEY)).box == "p"
 
 
-def test_transactions_are_one_request_and_show_queueing_errors() -> None:
-    rig = Rig()
+def test_transactions_are_one_request_and_show_queueing_errors(rig: Rig) -> None:
     rig.ask("MULTI")
     rig.ask("SET", PLAIN, 1)
     assert rig.ask("NOSUCH", 1) is None
@@ -348,8 +331,7 @@
     assert rig.text() == b"*1\r\n+OK\r\n"
 
 
-def test_a_transaction_at_a_replica_is_a_miss_and_goes_on() -> None:
-    rig = Rig()
+def test_a_transaction_at_a_replica_is_a_miss_and_goes_on(rig: Rig) -> None:
     rig.ask("MULTI")
     rig.ask("SET", PLAIN, 1)
     send = sent(rig.ask("EXEC"))
@@ -360,8 +342,7 @@
     assert rig.sent[-1].box == "r" and rig.sent[-1].request == send.request
 
 
-def test_watch_binds_a_connection_and_a_lost_one_gives_up_exec() -> None:
-    rig = Rig()
+def test_watch_binds_a_connection_and_a_lost_one_gives_up_exec(rig: Rig) -> None:
     watch = sent(rig.ask("WATCH", PLAIN))
     assert watch.lease and watch.box == "p"
     rig.end(watch)
@@ -379,8 +360,7 @@
     assert rig.text().endswith(b"+QUEUED\r\n*-1\r\n")
 
 
-def test_an_exec_that_never_reached_its_connection_does_not_run_unwatched() -> None:
-    rig = Rig()
+def test_an_exec_that_never_reached_its_connection_does_not_run_unwatched(rig: Rig) -> None:
     rig.end(sent(rig.ask("WATCH", PLAIN)))
     rig.ask("MULTI")
     rig.ask("SET", PLAIN, 1)
@@ -390,8 +370,7 @@
     assert rig.text().endswith(b"+QUEUED\r\n*-1\r\n")
 
 
-def test_a_departed_clients_requests_are_let_go() -> None:
-    rig = Rig()
+def test_a_departed_clients_requests_are_let_go(rig: Rig) -> None:
     send = sent(rig.ask("SET", PLAIN, 1))
     rig.ask("SET", PLAIN, 2)
     rig.give(m.Closed(1))
@@ -400,8 +379,7 @@
     assert len(rig.sent) == 1 and not rig.engine._asks
 
 
-def test_a_broken_protocol_ends_after_what_was_owed() -> None:
-    rig = Rig()
+def test_a_broken_protocol_ends_after_what_was_owed(rig: Rig) -> None:
     send = sent(rig.ask("GET", PLAIN))
     rig.give(m.Broken(1, "ERR Protocol error: x"))
     assert rig.text() == b""
@@ -409,8 +387,7 @@
     assert rig.text() == b"$-1\r\n-ERR Protocol error: x\r\n" and rig.hung == {1}
 
 
-def test_draining_refuses_new_work_and_ends_the_old() -> None:
-    rig = Rig()
+def test_draining_refuses_new_work_and_ends_the_old(rig: Rig) -> None:
     send = sent(rig.ask("GET", PLAIN))
     rig.give(m.Draining())
     assert rig.ask("GET", OTHER) is None
@@ -435,8 +412,7 @@
         (("XREAD", "STREAMS", "a"), b"-ERR"),
     ],
 )
-def test_what_is_not_served_says_so(words: tuple[str | int, ...], start: bytes) -> None:
-    rig = Rig()
+def test_what_is_not_served_says_so(rig: Rig, words: tuple[str | int, ...], start: bytes) -> None:
     rig.ask(*words)
     assert rig.text().startswith(start)
 
@@ -483,8 +459,7 @@
         b":7\r\n",
     ]
     report = info("replica", 100, run="r")
-    rig = Rig()
-    taken = 0
+    rig, taken = Rig(), 0
     for _ in range(10_000):
         data = bytearray(rng.choice(good))
         said = bytearray(report)
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -34,6 +34,11 @@
     return one
 
 
+@pytest.fixture
+def one() -> Rig:
+    return rig()
+
+
 T = TypeVar("T")
 
 
@@ -57,15 +62,13 @@
     return paths.paths[paths.at(address)].state
 
 
-def test_every_path_of_a_box_is_asked_soon_after_the_start() -> None:
-    one = rig()
+def test_every_path_of_a_box_is_asked_soon_after_the_start(one: Rig) -> None:
     assert {probe.address for probe in one.probes if probe.box == "p"} == {P, P6, PU}
     assert all(state(one, address) is State.GOOD for address in (P, P6, PU))
     assert sent(one.ask("SET", PLAIN, 1)).address == PU
 
 
-def test_a_dial_moves_on_when_a_path_is_refused_and_when_it_says_nothing() -> None:
-    one = rig()
+def test_a_dial_moves_on_when_a_path_is_refused_and_when_it_says_nothing(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     (first,) = dials(one)
     assert first.address == PU and first.timeout_us == 70_000
@@ -81,25 +84,20 @@
     assert [one_.address for one_ in said(one, m.Discard)] == [P6]
 
 
-def test_where_every_path_fails_what_waits_is_told_once() -> None:
-    one = rig()
+def test_where_every_path_fails_what_waits_is_told_once(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     for _ in range(3):
         (dial,) = dials(one)
         dialled(one, dial, "refused")
     # All three have failed now; `dials` has taken the last effects with it, so ask again and see that one is tried.
     one.give(m.Wanted("p", 2, PU))
-    found = [effect for effect in one.other if isinstance(effect, m.Dial)]
-    assert len(found) == 1
-    one.other.clear()
-    dialled(one, found[0], "refused")
+    (found,) = dials(one)
+    dialled(one, found, "refused")
     assert [effect.how for effect in said(one, m.NoPath)] == ["refused"]
 
 
-def test_a_check_fails_only_when_every_path_has_failed() -> None:
-    one = rig()
-    one.says[f"p {PU}"] = b""
-    one.says[f"p {P6}"] = b""
+def test_a_check_fails_only_when_every_path_has_failed(one: Rig) -> None:
+    one.says[f"p {PU}"] = one.says[f"p {P6}"] = b""
     before = one.engine._boxes["p"].member
     told: list[api.Checked] = []
     handle = one.engine.router.handle
@@ -124,8 +122,7 @@
     assert sum(event.outcome is not api.Outcome.SERVED for event in told) == 1
 
 
-def test_a_silent_probe_is_overtaken_by_the_next_path() -> None:
-    one = rig()
+def test_a_silent_probe_is_overtaken_by_the_next_path(one: Rig) -> None:
     one.mute.add(PU)
     one.probes.clear()
     one.give(m.Inspected())
@@ -135,8 +132,7 @@
     assert not one.engine._boxes["p"].probe_out
 
 
-def test_a_write_lost_with_its_path_is_not_the_end_of_the_primary() -> None:
-    one = rig()
+def test_a_write_lost_with_its_path_is_not_the_end_of_the_primary(one: Rig) -> None:
     send = sent(one.ask("XADD", KEY, "IDMP", "a", "t1", "*", "f", "v"))
     assert send.address == PU
     one.now += 1_000
@@ -149,8 +145,7 @@
     assert one.text() == b"$3\r\n1-0\r\n"
 
 
-def test_a_write_without_a_key_is_not_sent_over_a_second_address() -> None:
-    one = rig()
+def test_a_write_without_a_key_is_not_sent_over_a_second_address(one: Rig) -> None:
     send = sent(one.ask("SET", PLAIN, 1))
     one.now += 1_000
     one.give(m.Probed("p", "reply", one.now - 300, 300, one.says["p"], P))
@@ -163,8 +158,7 @@
     assert one.sent[-1] is not send and one.sent[-1].payload == send.payload
 
 
-def test_the_window_of_a_key_begins_with_what_may_have_arrived() -> None:
-    one = rig()
+def test_the_window_of_a_key_begins_with_what_may_have_arrived(one: Rig) -> None:
     first = sent(one.ask("XADD", KEY, "IDMP", "a", "t1", "*", "f", "v"))
     one.pass_us(400_000)
     one.give(m.Ended(first.request, first.attempt, "p", "unsent", 900, one.now, address=PU))
@@ -179,30 +173,26 @@
     assert third is not second and began - 200_000 + 2_000_000 < third.until_us <= one.now + 2_000_000
 
 
-def test_a_silent_path_is_shunned_and_what_was_on_it_goes_elsewhere() -> None:
-    one = rig()
+def test_a_silent_path_is_shunned_and_what_was_on_it_goes_elsewhere(one: Rig) -> None:
     one.end(sent(one.ask("SET", PLAIN, 0)))
     one.text()
     send = sent(one.ask("XADD", KEY, "IDMP", "a", "t1", "*", "f", "v"))
     one.mute.add(PU)
     one.other.clear()
     one.pass_us(60_000)
-    shunned = [effect for effect in one.other if isinstance(effect, m.Shun)]
-    assert [effect.address for effect in shunned] == [PU] and state(one, PU) is State.FAILED
+    assert [effect.address for effect in said(one, m.Shun)] == [PU] and state(one, PU) is State.FAILED
     one.give(m.Ended(send.request, send.attempt, "p", "reset", 60_000, one.now - 60_000, address=PU))
     assert one.sent[-1].address == P6 and one.engine.without_primary == []
 
 
-def test_a_box_that_hangs_on_all_paths_loses_its_role_by_the_error_rules_alone() -> None:
-    one = rig()
+def test_a_box_that_hangs_on_all_paths_loses_its_role_by_the_error_rules_alone(one: Rig) -> None:
     sent(one.ask("XADD", KEY, "IDMP", "a", "t1", "*", "f", "v"))
     one.mute.update((P, P6, PU))
     one.pass_us(400_000)
     assert not any(isinstance(effect, m.Shun) for effect in one.other)
 
 
-def test_an_address_that_reaches_another_listed_box_carries_nothing() -> None:
-    one = rig()
+def test_an_address_that_reaches_another_listed_box_carries_nothing(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     (dial,) = dials(one)
     dialled(one, dial, says=one.says["r"])
@@ -212,8 +202,7 @@
     assert sent(one.ask("SET", PLAIN, 1)).address == P6
 
 
-def test_an_address_that_reaches_another_bank_carries_nothing() -> None:
-    one = rig()
+def test_an_address_that_reaches_another_bank_carries_nothing(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     (dial,) = dials(one)
     dialled(one, dial, says=info("replica", 5, "h9", run="unknown"))
@@ -221,8 +210,7 @@
     assert not any(isinstance(effect, m.Use) for effect in one.other)
 
 
-def test_an_unknown_run_on_one_path_is_a_stranger_while_the_others_reach_the_old_one() -> None:
-    one = rig()
+def test_an_unknown_run_on_one_path_is_a_stranger_while_the_others_reach_the_old_one(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     (dial,) = dials(one)
     member = one.engine._boxes["p"].member
@@ -251,8 +239,7 @@
         load_text(TEMPLATE.replace("1002', hall: 'a'", "1002', hall: 'a', paths: [{address: '127.0.0.1:1001'}]"), "x")
 
 
-def test_addresses_that_change_under_a_live_box_leave_it_the_same_box() -> None:
-    one = rig()
+def test_addresses_that_change_under_a_live_box_leave_it_the_same_box(one: Rig) -> None:
     member = one.engine._boxes["p"].member
     others = [m.Box("r", 0, "127.0.0.1:1002"), m.Box("s", 0, "127.0.0.1:1003"), m.Box("q", 1, "127.0.0.1:1004")]
     one.give(m.Listed((m.Box("p", 0, P6, ways=(m.Way("[::1]:9"),)), *others)))
@@ -294,8 +281,7 @@
     assert dialled_all <= 50 * 4 * 3 and one.engine._dialling == 0
 
 
-def test_the_state_of_paths_is_in_a_snapshot() -> None:
-    one = rig()
+def test_the_state_of_paths_is_in_a_snapshot(one: Rig) -> None:
     one.give(m.Wanted("p", 1, PU))
     (dial,) = dials(one)
     sent(one.ask("SET", PLAIN, 1))
@@ -337,11 +323,9 @@
             one.engine, one.now, one.wake = restore(image, SEVERAL), now, wake
             one.pass_us(passed)
             states += 1
-            arrived = box
-            if what in ("whole", "answer begun"):
-                arrived = Seen((*box.copies, now))
             # By the specification a box runs what it has whole; the link says `unsent` of the rest.
-            how = "reset" if what in ("whole", "answer begun") else "unsent"
+            whole = what in ("whole", "answer begun")
+            arrived, how = (Seen((*box.copies, now)), "reset") if whole else (box, "unsent")
             before = len(one.sent)
             one.give(m.Probed("p", "reply", one.now - 300, 300, one.says["p"], P))
             one.give(m.Ended(send.request, send.attempt, send.box, how, passed, now, address=send.address))
@@ -359,16 +343,8 @@
 
 
 def rig_fields(one: Rig) -> dict[str, object]:
-    return {
-        "says": one.says,
-        "sent": [],
-        "answers": {},
-        "hung": set(),
-        "paused": {},
-        "probes": [],
-        "mute": set(),
-        "other": [],
-    }
+    lists = {name: list[object]() for name in ("sent", "probes", "other")}
+    return {"says": one.says, "answers": {}, "hung": set(), "paused": {}, "mute": set(), **lists}
 
 
 def test_a_write_without_a_key_never_arrives_whole_twice() -> None:
@@ -382,8 +358,7 @@
     assert all(copies[-1] - copies[0] < 2_000_000 for copies in ends if copies)
 
 
-def test_the_bytes_from_which_a_command_may_run_are_told() -> None:
-    one = rig()
+def test_the_bytes_from_which_a_command_may_run_are_told(one: Rig) -> None:
     send = sent(one.ask("SET", PLAIN, 1))
     assert send.runs_from == len(command("SET", PLAIN, 1))
 
@@ -403,8 +378,7 @@
     assert f"attempt 0 at p over {PU} ended: reset" in told and f"attempt 1 sent to p by {P6}" in told
 
 
-def test_reports_that_cross_on_two_paths_do_not_make_a_box_a_new_one() -> None:
-    one = rig()
+def test_reports_that_cross_on_two_paths_do_not_make_a_box_a_new_one(one: Rig) -> None:
     member = one.engine._boxes["p"].member
     asked = one.now
     one.pass_us(5_000)
