Tests on sockets share how gateways, boxes and clients are opened

Change: tests/gateways.py opens them, and closes them after a failure too; tests are scenes in what it opens.

--- a/tests/test_full_path.py
+++ b/tests/test_full_path.py
@@ -17,20 +17,14 @@
 import redis.asyncio
 
 from oatlink.protocols import resp
+from tests.gateways import program
 
 
 class Up:
     """`oatlink up` in a process of its own."""
 
     def __init__(self, *options: str) -> None:
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "oatlink", "up", "--port", "0", *options],
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
-            text=True,
-        )
-        assert self.process.stdout is not None
-        line = self.process.stdout.readline()
+        self.process, line = program("up", "--port", "0", *options)
         assert line.startswith("ready 127.0.0.1:"), line
         self.port = int(line.rsplit(":", 1)[1])
 
--- a/tests/test_gateway_crossings.py
+++ b/tests/test_gateway_crossings.py
@@ -12,12 +12,12 @@
 
 from oatlink.core import messages as m
 from oatlink.gateway.links import Link
-from oatlink.gateway.listeners import boxes_of, listen
+from oatlink.gateway.listeners import boxes_of
 from oatlink.gateway.server import Gateway
 from oatlink.protocols import resp
 from oatlink.settings import load_text
+from tests.gateways import Wire, given_to, started
 from tests.scenes import scene
-from tests.test_standins import Wire
 
 PATIENCE_S = 20.0
 OK, PONG = resp.Simple(b"OK"), resp.Simple(b"PONG")
@@ -145,11 +145,8 @@
             f" + {more}",
             "test",
         )
-        settings = msgspec.structs.replace(settings, links=msgspec.structs.replace(settings.links, **links))
-        sockets = listen("127.0.0.1:0")
-        gateway = Gateway(settings)
-        gateway.start(sockets)
-        one = World(gateway, box, sockets[0].getsockname()[1])
+        gateway, port = started(settings, **links)
+        one = World(gateway, box, port)
         try:
             await until(lambda: not gateway.engine.without_primary)
             yield one
@@ -268,18 +265,10 @@
 async def test_a_command_whose_client_left_before_its_connection_came_up_is_not_written(
     one: World, words: Words
 ) -> None:
-    ends: list[str] = []
-    feed = one.gateway.feed
-
-    def watched(given: m.AnyInput) -> None:
-        if isinstance(given, m.Ended):
-            ends.append(given.how)
-        feed(given)
-
-    one.gateway.feed = watched  # type: ignore[method-assign]
+    ends = given_to(one.gateway, m.Ended)
     client = await waits(one, *words)
     await one.sees_leave(client)
-    assert ends == ["withdrawn"]  # at once, and the box is not blamed for it
+    assert [each.how for each in ends] == ["withdrawn"]  # at once, and the box is not blamed for it
     one.box.greets.set()
     await one.serves("GET")
 
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -1,7 +1,7 @@
 """The gateway's own lateness is not its boxes': measured at the streams; a process that stood still blames nobody."""
 
 import asyncio
-import json
+import contextlib
 import signal
 import time
 from collections.abc import Callable
@@ -14,30 +14,23 @@
 from oatlink.core.recording import Recorder, Recording, replay
 from oatlink.gateway.clock import CLIENTS_A_TURN, Marks, patience
 from oatlink.gateway.server import Gateway
-from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.rules import placing
 from oatlink.standins.box import Work
+from tests.gateways import Served, Wire, given_to, served
+from tests.scenes import scene
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, info, sent
-from tests.test_links import gateway_for
-from tests.test_operators import Site, run
+from tests.test_operators import Site
 from tests.test_recording import traced
-from tests.test_standins import Wire
 
 
 def test_a_gateway_stopped_for_a_second_cuts_no_room_loses_no_primary_and_refuses_nothing(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    text = site.settings.read_text().replace("aim_ms: 600", "aim_ms: 1700")
     more = (
         "{ name: 'w', freshness: 'write', effect: 'unsafe', aim_ms: 1700, deadline_ms: 5000 },"
         "{ name: 'l', freshness: 'latest', effect: 'idempotent', aim_ms: 1700, deadline_ms: 5000 }],\n  banks:"
     )
-    site.settings.write_text(text.replace("],\n  banks:", f", {more}"))
-    site.gateway.terminate()
-    site.gateway.wait(5)
-    site.start()
 
-    async def test() -> dict[str, dict[str, str]]:
+    async def test(site: Site) -> dict[str, dict[str, str]]:
         wires = [await Wire.open(site.port) for _ in range(24)]
         end = time.monotonic() + 3.0
 
@@ -49,93 +42,66 @@
         loads = [asyncio.ensure_future(load(number)) for number in range(len(wires))]
         await asyncio.sleep(0.7)
         loop = asyncio.get_running_loop()
-        before = json.loads(await loop.run_in_executor(None, run, "status", site.address, "--json"))
+        before = await loop.run_in_executor(None, site.status)
         site.gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(1.0)
         site.gateway.send_signal(signal.SIGCONT)
         await asyncio.gather(*loads)
-        after = json.loads(await loop.run_in_executor(None, run, "status", site.address, "--json"))
+        after = await loop.run_in_executor(None, site.status)
         assert after["stats"]["requests_refused"] == after["stats"]["requests_failed"] == "0"
         assert before["banks"] == after["banks"]  # primary and count of elections
         for name, row in after["members"].items():
             assert float(row["room"]) >= float(before["members"][name]["room"]), name
         return dict(after["members"])
 
-    try:
-        members = asyncio.run(test())
+    with contextlib.closing(Site(tmp_path)) as site:
+        site.change(("aim_ms: 600", "aim_ms: 1700"), ("],\n  banks:", f", {more}"))
+        site.restart()
+        members = asyncio.run(test(site))
         assert members["box-0-0"]["role"] == "primary"
-    finally:
-        site.end()
 
 
 def test_roles_are_known_as_soon_as_a_gateway_is_ready(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    try:
-        shown = json.loads(run("status", site.address, "--json"))
-        assert {row["role"] for row in shown["members"].values()} == {"primary", "replica"}
-    finally:
-        site.end()
+    with contextlib.closing(Site(tmp_path)) as site:
+        assert {row["role"] for row in site.status()["members"].values()} == {"primary", "replica"}
 
 
 def test_a_gateway_without_a_primary_is_ready_all_the_same(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    try:
-        text = site.settings.read_text().replace("listen:", "ready_wait_ms: 200, listen:")
-        site.settings.write_text(text)
+    with contextlib.closing(Site(tmp_path)) as site:
+        site.change(("listen:", "ready_wait_ms: 200, listen:"))
         site.bank.terminate()
         site.bank.wait(5)
-        site.gateway.terminate()
-        site.gateway.wait(5)
-        site.start()
-        shown = json.loads(run("status", site.address, "--json"))
-        assert {row["role"] for row in shown["members"].values()} == {"unknown"}
-    finally:
-        site.end()
+        site.restart()
+        assert {row["role"] for row in site.status()["members"].values()} == {"unknown"}
 
 
-def test_an_answer_that_lay_in_the_process_does_not_count_as_the_boxs_time() -> None:
+@scene(served, 1)
+async def test_an_answer_that_lay_in_the_process_does_not_count_as_the_boxs_time(one: Served) -> None:
     """The loop is kept busy after each answer has come; what boxes took must not grow by that."""
-
-    async def test() -> None:
-        embedded = Embedded(1, 1, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        took: list[int] = []
-        feed = gateway.feed
-
-        def watched(given: m.AnyInput) -> None:
-            if isinstance(given, m.Ended):
-                took.append(given.took_us)
-            feed(given)
-
-        gateway.feed = watched  # type: ignore[method-assign]
-        wire = await Wire.open(port)
-        loop = asyncio.get_running_loop()
-        link = gateway._links["box-0-0"]
-        for _ in range(5):
-            assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
-        connection = link._pools[2].open[0]
-        handle = connection.stream._handle_events
-
-        def busy(fd: object, events: int) -> None:
-            loop.call_soon(time.sleep, 0.05)  # what else this turn has to do, before the answer is looked at
-            handle(fd, events)
-
-        quick = max(took[1:])
-        connection.stream._handle_events = busy  # type: ignore[method-assign]
-        connection.stream.io_loop.remove_handler(connection.stream.fileno())
-        connection.stream._state = None
-        connection.stream._add_io_state(connection.stream.io_loop.READ)
-        took.clear()
-        began = time.perf_counter()
-        for _ in range(5):
-            assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
-        assert time.perf_counter() - began > 0.2
-        assert max(took) < quick + 30_000, (took, quick)
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
+    ended = given_to(one.gateway, m.Ended)
+    wire = await one.wire()
+    loop = asyncio.get_running_loop()
+    link = one.gateway._links["box-0-0"]
+    for _ in range(5):
+        assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+    connection = link._pools[2].open[0]
+    handle = connection.stream._handle_events
+
+    def busy(fd: object, events: int) -> None:
+        loop.call_soon(time.sleep, 0.05)  # what else this turn has to do, before the answer is looked at
+        handle(fd, events)
+
+    quick = max(each.took_us for each in ended[1:])
+    connection.stream._handle_events = busy  # type: ignore[method-assign]
+    connection.stream.io_loop.remove_handler(connection.stream.fileno())
+    connection.stream._state = None
+    connection.stream._add_io_state(connection.stream.io_loop.READ)
+    ended.clear()
+    began = time.perf_counter()
+    for _ in range(5):
+        assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+    assert time.perf_counter() - began > 0.2
+    assert max(each.took_us for each in ended) < quick + 30_000, (ended, quick)
 
 
 def test_replies_of_one_read_are_told_before_what_is_held_is_placed(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -243,70 +209,49 @@
     gateway.engine.handle = handled  # type: ignore[method-assign]
 
 
-def test_a_pipeline_is_not_late_by_its_own_length() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 3, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        late: list[int] = []
-
-        def slowly(given: m.Asked) -> None:
-            late.append(max(given.late_us, given.waited_us))
-            time.sleep(0.004)
-
-        at_each_command(gateway, slowly)
-        wire = await Wire.open(port)
-        wire.writer.write(resp.command("GET", "k") * 64)
-        for _ in range(64):
-            await wire.reply()
-        # Each command costs 4 ms: the last of them would be 250 ms late, were its client's own ones counted.
-        assert len(late) == 64 and max(late) < 100_000
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
-
-
-def test_what_is_answered_at_once_takes_turns_with_other_clients() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 3, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        asked: list[int] = []
-        at_each_command(gateway, lambda given: asked.append(given.client))
-        first, second = await Wire.open(port), await Wire.open(port)
-        # Threat: thousands of PINGs in one read never fill the pipeline, so one client had the loop for all of them.
-        first.writer.write(resp.command("PING") * 4_000)
-        await asyncio.sleep(0)
-        second.writer.write(resp.command("PING") * 640)
-        for _ in range(640):
-            await second.reply()
-        for _ in range(4_000):
-            await first.reply()
-        changes = sum(before != after for before, after in zip(asked, asked[1:], strict=False))
-        assert len(asked) == 4_640 and changes >= 10
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
-
-
-def test_what_the_stream_read_ahead_is_not_late() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 1, 1, work=Work(read_us=150_000, cores=256))
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        late: list[int] = []
-        at_each_command(gateway, lambda given: late.append(max(given.late_us, given.waited_us)))
-        wire = await Wire.open(port)
-        wire.writer.write(resp.command("GET", "k") * 64)
-        await asyncio.sleep(0.03)
-        # The pipeline is full and nothing is read for the client, but the stream takes in what comes.
-        wire.writer.write(resp.command("GET", "k") * 64)
-        for _ in range(128):
-            await wire.reply()
-        assert len(late) == 128 and max(late) < 70_000, max(late)
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
+@scene(served, 3)
+async def test_a_pipeline_is_not_late_by_its_own_length(one: Served) -> None:
+    late: list[int] = []
+
+    def slowly(given: m.Asked) -> None:
+        late.append(max(given.late_us, given.waited_us))
+        time.sleep(0.004)
+
+    at_each_command(one.gateway, slowly)
+    wire = await one.wire()
+    wire.writer.write(resp.command("GET", "k") * 64)
+    for _ in range(64):
+        await wire.reply()
+    # Each command costs 4 ms: the last of them would be 250 ms late, were its client's own ones counted.
+    assert len(late) == 64 and max(late) < 100_000
+
+
+@scene(served, 3)
+async def test_what_is_answered_at_once_takes_turns_with_other_clients(one: Served) -> None:
+    asked: list[int] = []
+    at_each_command(one.gateway, lambda given: asked.append(given.client))
+    first, second = await one.wire(), await one.wire()
+    # Threat: thousands of PINGs in one read never fill the pipeline, so one client had the loop for all of them.
+    first.writer.write(resp.command("PING") * 4_000)
+    await asyncio.sleep(0)
+    second.writer.write(resp.command("PING") * 640)
+    for _ in range(640):
+        await second.reply()
+    for _ in range(4_000):
+        await first.reply()
+    changes = sum(before != after for before, after in zip(asked, asked[1:], strict=False))
+    assert len(asked) == 4_640 and changes >= 10
+
+
+@scene(served, 1, work=Work(read_us=150_000, cores=256))
+async def test_what_the_stream_read_ahead_is_not_late(one: Served) -> None:
+    late: list[int] = []
+    at_each_command(one.gateway, lambda given: late.append(max(given.late_us, given.waited_us)))
+    wire = await one.wire()
+    wire.writer.write(resp.command("GET", "k") * 64)
+    await asyncio.sleep(0.03)
+    # The pipeline is full and nothing is read for the client, but the stream takes in what comes.
+    wire.writer.write(resp.command("GET", "k") * 64)
+    for _ in range(128):
+        await wire.reply()
+    assert len(late) == 128 and max(late) < 70_000, max(late)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,89 +3,55 @@
 import asyncio
 import random
 
-import msgspec
-
-from oatlink.gateway.listeners import listen
-from oatlink.gateway.server import Gateway
+from oatlink.core.commands import slot_of
 from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
-from oatlink.settings import Settings
-from tests.test_standins import Wire
-
-
-async def gateway_for(embedded: Embedded, **links: int) -> tuple[Gateway, int, Settings]:
-    settings = embedded.settings(0, log_level="error")
-    settings = msgspec.structs.replace(settings, links=msgspec.structs.replace(settings.links, **links))
-    sockets = listen("127.0.0.1:0")
-    one = Gateway(settings)
-    one.start(sockets)
-    return one, sockets[0].getsockname()[1], settings
-
-
-def test_a_reply_cut_in_the_middle_is_never_half_an_answer() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 3, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        wire = await Wire.open(port)
-        assert await wire.ask("SET", "view:1", "x" * 1000) == resp.Simple(b"OK")
-        for number in range(20):
-            for box in embedded.boxes.values():
-                box.faults.cut_replies = 1
-            assert await wire.ask("GET", "view:1") in (b"x" * 1000, resp.Null(b"$")), number
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
-
-
-def test_a_connection_that_reaches_another_run_carries_nothing() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 1, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        wire = await Wire.open(port)
-        assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
-        box = embedded.boxes["box-0-0"]
-        box.stop()
-        box.start()
-        # The old connections are gone, the new one has shown its run: the box is known anew, then it is used.
-        assert await wire.ask("SET", "a", 2) == resp.Simple(b"OK")
-        link = gateway._links["box-0-0"]
-        runs = {one.run_id for pool in link._pools.values() for one in pool.open}
-        assert runs == {box.run_id}
-        for pool in link._pools.values():
-            for one in pool.open:
-                one.run_id = "somebody else"  # an address that now belongs to another
-        sent = box.executed
-        assert await wire.ask("GET", "a") == b"2"  # over a new connection, proven anew
-        assert box.executed == sent + 1
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
-
-
-def test_a_hung_replica_keeps_nobody_waiting_for_long() -> None:
-    async def test() -> None:
-        embedded = Embedded(1, 3, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        wire = await Wire.open(port)
-        await wire.ask("SET", "view:1", 1)
-        await asyncio.sleep(0.6)
-        for _ in range(50):
-            await wire.ask("GET", "view:1")
-        embedded.boxes["box-0-1"].faults.hang = True
-        loop = asyncio.get_running_loop()
-        for _ in range(100):
-            began = loop.time()
-            assert await wire.ask("GET", "view:1") == b"1"
-            assert loop.time() - began < 1.5
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
+from tests.gateways import Served, Wire, served, started
+from tests.scenes import scene
+
+
+@scene(served, 3)
+async def test_a_reply_cut_in_the_middle_is_never_half_an_answer(one: Served) -> None:
+    wire = await one.wire()
+    assert await wire.ask("SET", "view:1", "x" * 1000) == resp.Simple(b"OK")
+    for number in range(20):
+        for box in one.embedded.boxes.values():
+            box.faults.cut_replies = 1
+        assert await wire.ask("GET", "view:1") in (b"x" * 1000, resp.Null(b"$")), number
+
+
+@scene(served, 1)
+async def test_a_connection_that_reaches_another_run_carries_nothing(one: Served) -> None:
+    wire = await one.wire()
+    assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+    box = one.primary
+    box.stop()
+    box.start()
+    # The old connections are gone, the new one has shown its run: the box is known anew, then it is used.
+    assert await wire.ask("SET", "a", 2) == resp.Simple(b"OK")
+    link = one.gateway._links["box-0-0"]
+    connections = [each for pool in link._pools.values() for each in pool.open]
+    assert {each.run_id for each in connections} == {box.run_id}
+    for each in connections:
+        each.run_id = "somebody else"  # an address that now belongs to another
+    sent = box.executed
+    assert await wire.ask("GET", "a") == b"2"  # over a new connection, proven anew
+    assert box.executed == sent + 1
+
+
+@scene(served, 3)
+async def test_a_hung_replica_keeps_nobody_waiting_for_long(one: Served) -> None:
+    wire = await one.wire()
+    await wire.ask("SET", "view:1", 1)
+    await asyncio.sleep(0.6)
+    for _ in range(50):
+        await wire.ask("GET", "view:1")
+    one.embedded.boxes["box-0-1"].faults.hang = True
+    loop = asyncio.get_running_loop()
+    for _ in range(100):
+        began = loop.time()
+        assert await wire.ask("GET", "view:1") == b"1"
+        assert loop.time() - began < 1.5
 
 
 class Liar:
@@ -135,10 +101,10 @@
         end_ports = embedded.banks[1]
         end_ports.start([embedded._ports[box.name] for box in end_ports.boxes])
         await end_ports.synced()
-        gateway, port, _ = await gateway_for(embedded, connect_timeout_ms=100, probe_timeout_ms=100)
+        gateway, port = started(embedded.settings(0, log_level="error"), connect_timeout_ms=100, probe_timeout_ms=100)
         good = await Wire.open(port)
-        other = next(f"k{n}" for n in range(99) if gateway.engine._classifier._slots[_slot(f"k{n}")] == 1)
-        bad = next(f"k{n}" for n in range(99) if gateway.engine._classifier._slots[_slot(f"k{n}")] == 0)
+        slots = gateway.engine._classifier._slots
+        bad, other = (next(f"k{n}" for n in range(99) if slots[slot_of(b"k%d" % n)] == bank) for bank in (0, 1))
         assert await good.ask("SET", other, 1) == resp.Simple(b"OK")
         wires = [await Wire.open(port) for _ in range(9)]
         answered = 0
@@ -170,9 +136,3 @@
         end_ports.stop()
 
     asyncio.run(asyncio.wait_for(test(), 100))
-
-
-def _slot(key: str) -> int:
-    from oatlink.core.commands import slot_of
-
-    return slot_of(key.encode())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,12 +1,14 @@
 """Helpers agree with the gateway, for they ask the same engine: status, check, explain."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import subprocess
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -21,9 +23,9 @@
 from oatlink.lab.embedded import Embedded, port_of, reserve
 from oatlink.protocols import resp
 from oatlink.settings import load
+from tests.gateways import Wire, program, started
 from tests.test_engine import KEY, PLAIN, Rig, info, sent
 from tests.test_recording import recorded
-from tests.test_standins import Wire
 
 
 def run(*words: str, code: int = 0) -> str:
@@ -36,11 +38,8 @@
     """A stand-in bank and a gateway before it, each a process, as an operator has them."""
 
     def __init__(self, folder: Path) -> None:
-        self.bank = subprocess.Popen([sys.executable, "-m", "oatlink", "bank"], stdout=subprocess.PIPE, text=True)
-        assert self.bank.stdout is not None
-        said = json.loads(self.bank.stdout.readline())
-        self.control = int(said["control"].rsplit(":")[-1])
-        self.boxes = said["banks"]["bank-0"]
+        self.bank, said = program("bank")
+        self.boxes = json.loads(said)["banks"]["bank-0"]
         self.folder = folder
         self.roster = folder / "roster.json"
         self.recording = folder / "recording"
@@ -55,27 +54,35 @@
         self.start()
 
     def start(self) -> None:
-        self.gateway = subprocess.Popen(
-            [sys.executable, "-m", "oatlink", "gateway", str(self.settings)],
-            stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
-            text=True,
-        )
-        assert self.gateway.stdout is not None
-        line = self.gateway.stdout.readline()
+        self.gateway, line = program("gateway", str(self.settings))
         assert line.startswith("ready 127.0.0.1:") and not line.startswith("ready 127.0.0.1:0\n"), line
         self.address = line.split()[1]
         self.port = int(self.address.rsplit(":")[-1])
 
+    def stop(self) -> None:
+        self.gateway.terminate()
+        self.gateway.wait(5)
+
+    def restart(self) -> None:
+        self.stop()
+        self.start()
+
+    def change(self, *pairs: tuple[str, str]) -> None:
+        """Replace words of the settings' text."""
+        text = self.settings.read_text()
+        for old, new in pairs:
+            text = text.replace(old, new)
+        self.settings.write_text(text)
+
+    def status(self) -> Any:
+        return json.loads(run("status", self.address, "--json"))
+
     def with_admin(self, more: str) -> str:
         """Start anew with an operators' port and more settings; returns its address."""
         held = reserve()
         address = f"127.0.0.1:{port_of(held)}"
-        text = self.settings.read_text().replace("record_file:", f"admin_listen: '{address}', {more} record_file:")
-        self.settings.write_text(text)
-        self.gateway.terminate()
-        self.gateway.wait(5)
-        self.start()
+        self.change(("record_file:", f"admin_listen: '{address}', {more} record_file:"))
+        self.restart()
         held.close()
         return address
 
@@ -88,7 +95,7 @@
         new.write_text(json.dumps({"banks": [{"name": "b", "slots": [[0, 16383]], "members": members}]}))
         new.rename(self.roster)
 
-    def end(self) -> None:
+    def close(self) -> None:
         for one in (self.gateway, self.bank):
             one.terminate()
             one.wait(5)
@@ -96,9 +103,8 @@
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
-    one = Site(tmp_path)
-    yield one
-    one.end()
+    with contextlib.closing(Site(tmp_path)) as one:
+        yield one
 
 
 async def work(port: int, count: int) -> None:
@@ -111,7 +117,7 @@
 
 def test_check_and_status_and_gateway_say_the_same(site: Site) -> None:
     asyncio.run(work(site.port, 40))
-    shown = json.loads(run("status", site.address, "--json"))
+    shown = site.status()
     assert shown["members"]["box-0-0"]["takes"] == "writes and current reads"
     assert int(shown["stats"]["requests_served"]) == 80
     found = json.loads(run("check", str(site.settings), "--against", site.address, "--json"))
@@ -134,8 +140,7 @@
     asyncio.run(work(site.port, 20))
     site.tell(box_0_1="terminating")
     asyncio.run(work(site.port, 10))
-    site.gateway.terminate()
-    site.gateway.wait(5)
+    site.stop()
     recording = Recording(site.recording.read_bytes())
     assert replay(recording.header, recording.entries()).differences == 0
     text = run("explain", str(site.recording), "59")
@@ -150,8 +155,7 @@
 
 def test_a_recording_is_driven_at_a_running_gateway_and_what_if_names_the_first_other_decision(site: Site) -> None:
     asyncio.run(work(site.port, 15))
-    site.gateway.terminate()
-    site.gateway.wait(5)
+    site.stop()
     copy = site.folder / "copy"
     copy.write_bytes(site.recording.read_bytes())
     site.start()
@@ -172,18 +176,17 @@
 
 def test_a_gateway_starts_from_its_snapshot(site: Site) -> None:
     path = site.folder / "state"
-    text = site.settings.read_text().replace(f"record_file: '{site.recording}'", f"snapshot_file: '{path}'")
-    site.settings.write_text(text.replace("classes:", "sessions: 'client-name', classes:"))
-    site.gateway.terminate()
-    site.gateway.wait(5)
+    site.change(
+        (f"record_file: '{site.recording}'", f"snapshot_file: '{path}'"),
+        ("classes:", "sessions: 'client-name', classes:"),
+    )
+    site.stop()
 
     async def once() -> None:
         settings = load(str(site.settings))
         for turn in range(2):
-            gateway = Gateway(settings)
-            sockets = listen("127.0.0.1:0")
-            gateway.start(sockets)
-            wire = await Wire.open(sockets[0].getsockname()[1])
+            gateway, port = started(settings)
+            wire = await Wire.open(port)
             assert ("teller@0" in gateway.engine.router.book.sessions) is bool(turn)
             await wire.ask("CLIENT", "SETNAME", "teller")
             assert await wire.ask("SET", "v:1", 1) == resp.Simple(b"OK")
@@ -228,7 +231,6 @@
         assert isinstance(await wire.ask("MEMBERS"), resp.Error)
         chosen = await embedded.banks[0].hand_over()
         assert chosen is not None and chosen.is_primary
-        seen = 0
         for _ in range(500):
             await admin.ask("INSPECT")
             await asyncio.sleep(0.02)
@@ -255,7 +257,7 @@
         assert await wire.ask("CLIENT", "SETNAME", "teller") == resp.Simple(b"OK")
         assert str(site.recording) in run("record", where, "start")
         assert await wire.ask("SET", "v:1", 1) == resp.Simple(b"OK")
-        site.settings.write_text(site.settings.read_text().replace("staleness_ms: 500", "staleness_ms: 40"))
+        site.change(("staleness_ms: 500", "staleness_ms: 40"))
         site.gateway.send_signal(signal.SIGHUP)
         for number in range(30):
             assert await wire.ask("SET", "v:1", number) == resp.Simple(b"OK")
@@ -277,7 +279,7 @@
     assert f"{site.recording}.run2" in run("record", where, "start")
     run("record", where, "stop")
     assert "Invalid value" in run("record", where, "eject", code=2)
-    site.settings.write_text(site.settings.read_text().replace("staleness_ms: 40", "staleness_ms: 0"))
+    site.change(("staleness_ms: 40", "staleness_ms: 0"))
     site.gateway.send_signal(signal.SIGHUP)
     asyncio.run(work(site.port, 3))
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,6 +1,5 @@
 """Overload of the gateway itself: what is refused, when to come back, and that nothing of it stays after the flood."""
 
-import asyncio
 import random
 import time
 from collections import deque
@@ -14,12 +13,11 @@
 
 from oatlink.core import messages as m
 from oatlink.core.overload import LONGEST_US, Admission
-from oatlink.lab.embedded import Embedded
 from oatlink.protocols import resp
 from oatlink.settings.model import RequestClass
+from tests.gateways import Served, given_to, served
+from tests.scenes import scene
 from tests.test_engine import KEY, PLAIN, SETTINGS, Rig, sent
-from tests.test_links import gateway_for
-from tests.test_standins import Wire
 
 VIEW = RequestClass("view", "bounded", "idempotent", 600, 2_000, worth=1.0, staleness_ms=500)
 POST = RequestClass("post", "write", "keyed", 1_000, 3_000, worth=6.0, late_worth=0.3, repeat_window_ms=2_000)
@@ -191,43 +189,21 @@
     assert rig.text(2).startswith(b"-TRYAGAIN")
 
 
-def test_a_refused_client_that_asks_at_once_has_its_answer_within_its_deadline() -> None:
+@scene(served, 1)
+async def test_a_refused_client_that_asks_at_once_has_its_answer_within_its_deadline(one: Served) -> None:
     """On sockets: the gateway refuses all for a while; a client that does not listen is still answered in time."""
-
-    async def test() -> None:
-        embedded = Embedded(1, 1, 1)
-        end = await embedded.start()
-        gateway, port, _ = await gateway_for(embedded)
-        wire = await Wire.open(port)
-        assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
-        admission = gateway.engine._admission
-        refusing = lambda *_: 4_000_000  # noqa: E731
-        admit = Admission.admit
-        Admission.admit = refusing  # type: ignore[method-assign]
-        try:
-            answers = []
-            for _ in range(3):
-                began = time.monotonic()
-                answers.append(await wire.ask("GET", "a"))
-                assert time.monotonic() - began < 1.5  # price-check's deadline, the shortest
-            assert all(isinstance(one, resp.Error) for one in answers)
-        finally:
-            Admission.admit = admit  # type: ignore[method-assign]
-        waits: list[int] = []
-        feed = gateway.feed
-
-        def watched(given: m.AnyInput) -> None:
-            if isinstance(given, m.Asked):
-                waits.append(given.waited_us)
-            feed(given)
-
-        gateway.feed = watched  # type: ignore[method-assign]
-        assert not isinstance(await wire.ask("SET", "a", 2), resp.Error)
-        assert 400_000 < waits[0] < 900_000 and admission.limit > 0
-        await gateway.stop()
-        end()
-
-    asyncio.run(test())
+    wire = await one.wire()
+    assert await wire.ask("SET", "a", 1) == resp.Simple(b"OK")
+    admission = one.gateway.engine._admission
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Admission, "admit", lambda *_: 4_000_000)
+        for _ in range(3):
+            began = time.monotonic()
+            assert isinstance(await wire.ask("GET", "a"), resp.Error)
+            assert time.monotonic() - began < 1.5  # price-check's deadline, the shortest
+    asked = given_to(one.gateway, m.Asked)
+    assert not isinstance(await wire.ask("SET", "a", 2), resp.Error)
+    assert 400_000 < asked[0].waited_us < 900_000 and admission.limit > 0
 
 
 def _late(key: str, late_us: int) -> m.Asked:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,7 +1,8 @@
 """Stand-ins: truthful offsets, partial and full resynchronisation, WAIT, failover, faults, the control port."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator
 
 import pytest
 
@@ -10,43 +11,19 @@
 from oatlink.standins.bank import Bank
 from oatlink.standins.box import Box, Work
 from oatlink.standins.store import Store
+from tests.gateways import Wire
+from tests.scenes import scene
 
 
-class Wire:
-    """A plain client."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer, self.replies = reader, writer, resp.ReplyReader()
-
-    @classmethod
-    async def open(cls, port: int) -> "Wire":
-        return cls(*await asyncio.open_connection("127.0.0.1", port))
-
-    async def ask(self, *words: str | int) -> resp.Value:
-        self.writer.write(resp.command(*words))
-        return await self.reply()
-
-    async def reply(self) -> resp.Value:
-        """The next answer."""
-        while (frame := self.replies.take()) is None:
-            data = await self.reader.read(65_536)
-            if not data:
-                raise ConnectionError
-            self.replies.feed(data)
-        return resp.decode(frame)
-
-
-def run(test: Callable[[Bank], Awaitable[None]], **more: object) -> None:
-    async def whole() -> None:
-        bank = Bank("b", ["x", "y", "z"], seed=1, detect_s=(0.1, 0.2), elect_s=(0.05, 0.1), **more)  # type: ignore[arg-type]
-        bank.start()
-        await bank.synced()
-        try:
-            await test(bank)
-        finally:
-            bank.stop()
-
-    asyncio.run(whole())
+@contextlib.asynccontextmanager
+async def replicated() -> AsyncIterator[Bank]:
+    bank = Bank("b", ["x", "y", "z"], seed=1, detect_s=(0.1, 0.2), elect_s=(0.05, 0.1))
+    bank.start()
+    await bank.synced()
+    try:
+        yield bank
+    finally:
+        bank.stop()
 
 
 def held(box: Box) -> int:
@@ -56,135 +33,119 @@
     return len(value)
 
 
-def test_offsets_count_exactly_the_writes_held() -> None:
-    async def test(bank: Bank) -> None:
-        x, y, _ = bank.boxes
-        wire = await Wire.open(x.port)
-        size = len(resp.command("RPUSH", "l", 1))
-        base = x.offset
-        y.faults.lag_ms = 150
-        for number in range(1, 10):
-            await wire.ask("RPUSH", "l", 1)
-            assert x.offset == base + number * size and held(x) == number
-            for box in bank.boxes:
-                assert box.offset >= base and (box.offset - base) // size <= held(box)
-            await asyncio.sleep(0.02)
-        assert y.offset < x.offset
-        y.faults.lag_ms = 0
-        await bank.synced()
-        assert {held(one) for one in bank.boxes} == {9}
-
-    run(test)
-
-
-def test_a_replica_refuses_writes_and_answers_reads_from_what_it_has() -> None:
-    async def test(bank: Bank) -> None:
-        x, y, _ = bank.boxes
-        y.faults.lag_ms = 300
-        one, two = await Wire.open(x.port), await Wire.open(y.port)
-        await one.ask("SET", "a", 1)
-        assert await two.ask("GET", "a") == resp.Null(b"$")
-        refused = await two.ask("SET", "a", 2)
-        assert isinstance(refused, resp.Error) and refused.prefix == b"READONLY"
-        role = await two.ask("ROLE")
-        assert isinstance(role, resp.Array) and role.items[0] == b"slave"
-
-    run(test)
-
-
-def test_wait_counts_the_replicas_that_hold_the_write() -> None:
-    async def test(bank: Bank) -> None:
-        x, y, z = bank.boxes
-        wire = await Wire.open(x.port)
-        await wire.ask("SET", "a", 1)
-        assert await wire.ask("WAIT", 2, 1000) == 2
-        y.faults.lag_ms = z.faults.lag_ms = 5_000
-        await wire.ask("SET", "a", 2)
-        assert await wire.ask("WAIT", 1, 100) == 0
-
-    run(test)
-
-
-def test_a_crashed_primarys_unshipped_write_is_lost_and_its_history_resynchronised() -> None:
-    async def test(bank: Bank) -> None:
-        x = bank.boxes[0]
-        wire = await Wire.open(x.port)
-        await wire.ask("RPUSH", "l", "kept")
-        await bank.synced()
-        x.faults.die_on_write = True
-        with pytest.raises(ConnectionError):
-            await wire.ask("RPUSH", "l", "lost")
-        diverged = x.offset
-        async with asyncio.timeout(3):
-            while bank.primary is None:
-                await asyncio.sleep(0.01)
-        new = bank.primary
-        assert new is not None and new is not x and new.offset < diverged
-        assert new.replid2 == x.replid and new.second_offset == new.offset + 1
-        x.start()
-        await bank.synced()
-        assert x.store.data[b"l"] == [b"kept"] and x.offset == new.offset and not x.is_primary
-
-    run(test)
-
-
-def test_a_short_break_is_resynchronised_partly() -> None:
-    async def test(bank: Bank) -> None:
-        x, y, _ = bank.boxes
-        wire = await Wire.open(x.port)
+@scene(replicated)
+async def test_offsets_count_exactly_the_writes_held(bank: Bank) -> None:
+    x, y, _ = bank.boxes
+    wire = await Wire.open(x.port)
+    size = len(resp.command("RPUSH", "l", 1))
+    base = x.offset
+    y.faults.lag_ms = 150
+    for number in range(1, 10):
         await wire.ask("RPUSH", "l", 1)
-        await bank.synced()
-        store = y.store.data
-        y.stop()
-        await wire.ask("RPUSH", "l", 2)
-        y.start()
-        await bank.synced()
-        assert y.store.data is store and held(y) == 2  # a full one would have made the data anew
-
-    run(test)
-
-
-def test_a_hung_primary_is_fenced_when_it_wakes() -> None:
-    async def test(bank: Bank) -> None:
-        x = bank.boxes[0]
-        x.faults.hang = True
-        wire = await Wire.open(x.port)
-        pending = asyncio.ensure_future(wire.ask("RPUSH", "l", 1))
-        async with asyncio.timeout(3):
-            while bank.primary is None:
-                await asyncio.sleep(0.01)
-        x.faults.hang = False
-        found = await pending
-        assert isinstance(found, resp.Error) and found.prefix == b"READONLY"
-
-    run(test)
-
-
-def test_a_hand_over_loses_no_write() -> None:
-    async def test(bank: Bank) -> None:
-        x = bank.boxes[0]
-        wire = await Wire.open(x.port)
-        for number in range(50):
-            await wire.ask("RPUSH", "l", number)
-        chosen = await bank.hand_over()
-        assert chosen is not None and held(chosen) == 50 and chosen.is_primary and not x.is_primary
-        await bank.synced()
-
-    run(test)
-
-
-def test_repeats_inside_the_window_are_dropped_on_the_next_primary_too() -> None:
-    async def test(bank: Bank) -> None:
-        wire = await Wire.open(bank.boxes[0].port)
-        first = await wire.ask("XADD", "s", "IDMP", "p", "k", "*", "f", "v")
-        await bank.synced()
-        chosen = await bank.hand_over()
-        assert chosen is not None
-        other = await Wire.open(chosen.port)
-        assert await other.ask("XADD", "s", "IDMP", "p", "k", "*", "f", "v") == first
-        assert await other.ask("XLEN", "s") == 1
-
-    run(test)
+        assert x.offset == base + number * size and held(x) == number
+        for box in bank.boxes:
+            assert box.offset >= base and (box.offset - base) // size <= held(box)
+        await asyncio.sleep(0.02)
+    assert y.offset < x.offset
+    y.faults.lag_ms = 0
+    await bank.synced()
+    assert {held(one) for one in bank.boxes} == {9}
+
+
+@scene(replicated)
+async def test_a_replica_refuses_writes_and_answers_reads_from_what_it_has(bank: Bank) -> None:
+    x, y, _ = bank.boxes
+    y.faults.lag_ms = 300
+    one, two = await Wire.open(x.port), await Wire.open(y.port)
+    await one.ask("SET", "a", 1)
+    assert await two.ask("GET", "a") == resp.Null(b"$")
+    refused = await two.ask("SET", "a", 2)
+    assert isinstance(refused, resp.Error) and refused.prefix == b"READONLY"
+    role = await two.ask("ROLE")
+    assert isinstance(role, resp.Array) and role.items[0] == b"slave"
+
+
+@scene(replicated)
+async def test_wait_counts_the_replicas_that_hold_the_write(bank: Bank) -> None:
+    x, y, z = bank.boxes
+    wire = await Wire.open(x.port)
+    await wire.ask("SET", "a", 1)
+    assert await wire.ask("WAIT", 2, 1000) == 2
+    y.faults.lag_ms = z.faults.lag_ms = 5_000
+    await wire.ask("SET", "a", 2)
+    assert await wire.ask("WAIT", 1, 100) == 0
+
+
+@scene(replicated)
+async def test_a_crashed_primarys_unshipped_write_is_lost_and_its_history_resynchronised(bank: Bank) -> None:
+    x = bank.boxes[0]
+    wire = await Wire.open(x.port)
+    await wire.ask("RPUSH", "l", "kept")
+    await bank.synced()
+    x.faults.die_on_write = True
+    with pytest.raises(ConnectionError):
+        await wire.ask("RPUSH", "l", "lost")
+    diverged = x.offset
+    async with asyncio.timeout(3):
+        while bank.primary is None:
+            await asyncio.sleep(0.01)
+    new = bank.primary
+    assert new is not None and new is not x and new.offset < diverged
+    assert new.replid2 == x.replid and new.second_offset == new.offset + 1
+    x.start()
+    await bank.synced()
+    assert x.store.data[b"l"] == [b"kept"] and x.offset == new.offset and not x.is_primary
+
+
+@scene(replicated)
+async def test_a_short_break_is_resynchronised_partly(bank: Bank) -> None:
+    x, y, _ = bank.boxes
+    wire = await Wire.open(x.port)
+    await wire.ask("RPUSH", "l", 1)
+    await bank.synced()
+    store = y.store.data
+    y.stop()
+    await wire.ask("RPUSH", "l", 2)
+    y.start()
+    await bank.synced()
+    assert y.store.data is store and held(y) == 2  # a full one would have made the data anew
+
+
+@scene(replicated)
+async def test_a_hung_primary_is_fenced_when_it_wakes(bank: Bank) -> None:
+    x = bank.boxes[0]
+    x.faults.hang = True
+    wire = await Wire.open(x.port)
+    pending = asyncio.ensure_future(wire.ask("RPUSH", "l", 1))
+    async with asyncio.timeout(3):
+        while bank.primary is None:
+            await asyncio.sleep(0.01)
+    x.faults.hang = False
+    found = await pending
+    assert isinstance(found, resp.Error) and found.prefix == b"READONLY"
+
+
+@scene(replicated)
+async def test_a_hand_over_loses_no_write(bank: Bank) -> None:
+    x = bank.boxes[0]
+    wire = await Wire.open(x.port)
+    for number in range(50):
+        await wire.ask("RPUSH", "l", number)
+    chosen = await bank.hand_over()
+    assert chosen is not None and held(chosen) == 50 and chosen.is_primary and not x.is_primary
+    await bank.synced()
+
+
+@scene(replicated)
+async def test_repeats_inside_the_window_are_dropped_on_the_next_primary_too(bank: Bank) -> None:
+    wire = await Wire.open(bank.boxes[0].port)
+    first = await wire.ask("XADD", "s", "IDMP", "p", "k", "*", "f", "v")
+    await bank.synced()
+    chosen = await bank.hand_over()
+    assert chosen is not None
+    other = await Wire.open(chosen.port)
+    assert await other.ask("XADD", "s", "IDMP", "p", "k", "*", "f", "v") == first
+    assert await other.ask("XLEN", "s") == 1
 
 
 def test_the_window_ends() -> None:
