--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -207,8 +207,7 @@
             one.answered(0, 3_000, turn * 1_000)
         if turn * 1_000 >= look:
             asked, cut, look = one.look(0, turn * 1_000)
-            assert not asked and not cut
-            assert look <= turn * 1_000 + HUSH_MOST_US
+            assert not asked and not cut and look <= turn * 1_000 + HUSH_MOST_US
 
 
 def test_a_path_that_answers_probes_and_loses_requests_is_held_out(one: Paths) -> None:
@@ -253,8 +252,7 @@
     one.choose(0)
     assert one.to_look_at(0) == [1, 2] and one.to_look_at(1_000) == []
     one.failed(1, "refused", 2_000)
-    assert one.to_look_at(one.paths[1].next_us) == [1]
-    assert one.next_look_us(0) <= 12_000_000
+    assert one.to_look_at(one.paths[1].next_us) == [1] and one.next_look_us(0) <= 12_000_000
 
 
 @given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 2), st.integers(1, 300_000)), max_size=120))
@@ -286,5 +284,4 @@
         # New work is never on a path known to be bad while another may be used.
         assert one.paths[chosen].usable or not any(path.usable for path in one.paths)
         assert [path.out for path in one.paths] == out
-        assert one.order(now) and len(set(one.order(now))) == len(one.order(now))
-        assert one.race(now).queue
+        assert one.order(now) and len(set(one.order(now))) == len(one.order(now)) and one.race(now).queue
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -236,8 +236,7 @@
     assert again.box == "r" and again.until_us <= 1_000_000_000 + 2_000_000
     rig.end(again, how="reset")
     rig.pass_us(2_500_000)
-    assert rig.text().startswith(b"-ERR failed")
-    assert all(one.until_us <= 1_002_000_000 for one in rig.sent[1:])
+    assert rig.text().startswith(b"-ERR failed") and all(one.until_us <= 1_002_000_000 for one in rig.sent[1:])
 
 
 def test_writes_are_held_over_an_election_and_then_served(rig: Rig) -> None:
@@ -258,8 +257,7 @@
     rig.ask("GET", KEY)
     rig.pass_us(5_100_000)
     text = rig.text()
-    assert text.count(b"\r\n") == 3 and text.startswith(b"-ERR failed")
-    assert rig.engine.idle
+    assert text.count(b"\r\n") == 3 and text.startswith(b"-ERR failed") and rig.engine.idle
     for send in list(rig.sent):
         rig.end(send)  # far too late
     assert rig.text() == b""
@@ -356,8 +354,7 @@
     assert rig.ask("WATCH", PLAIN) is None  # never on a connection that others share
     rig.ask("MULTI")
     rig.ask("SET", PLAIN, 1)
-    assert rig.ask("EXEC") is None
-    assert rig.text().endswith(b"+QUEUED\r\n*-1\r\n")
+    assert rig.ask("EXEC") is None and rig.text().endswith(b"+QUEUED\r\n*-1\r\n")
 
 
 def test_an_exec_that_never_reached_its_connection_does_not_run_unwatched(rig: Rig) -> None:
@@ -392,8 +389,7 @@
     rig.give(m.Draining())
     assert rig.ask("GET", OTHER) is None
     rig.end(send, [b"$-1\r\n"])
-    assert rig.text().startswith(b"$-1\r\n-TRYAGAIN")
-    assert rig.engine.idle
+    assert rig.text().startswith(b"$-1\r\n-TRYAGAIN") and rig.engine.idle
 
 
 @pytest.mark.parametrize(
@@ -513,8 +509,7 @@
         else:
             rig.list(**{["p", "r", "s"][number % 3]: ["ready", "terminating", "gone"][number % 2]})
     rig.pass_us(6_000_000)
-    assert rig.engine.idle and not rig.engine._sessions[1].busy
-    assert rig.text().count(b"\r\n") == asked
+    assert rig.engine.idle and not rig.engine._sessions[1].busy and rig.text().count(b"\r\n") == asked
     for name in {one.request for one in rig.sent}:
         kinds = [one for one in rig.sent if one.request == name and one.payload.startswith(b"*3\r\n$3\r\nSET")]
         assert len(kinds) <= 6
--- a/tests/test_full_path.py
+++ b/tests/test_full_path.py
@@ -63,8 +63,7 @@
     pairs = one.zrange(f"z{name}", 0, -1, withscores=True)
     assert [tuple(pair) for pair in pairs] == [("m", 1.5), ("n", 2.0)] and one.zrange(f"z{name}", 0, 0) == ["m"]
     assert one.incrbyfloat(f"f{name}", 0.5) == 0.5 and one.sadd(f"s{name}", "q") == 1
-    assert one.smembers(f"s{name}") == {"q"}
-    assert one.get("missing") is None
+    assert one.smembers(f"s{name}") == {"q"} and one.get("missing") is None
     with pytest.raises(redis.ResponseError, match="WRONGTYPE"):
         one.incr(f"h{name}")
     one.close()
@@ -155,8 +154,7 @@
         one.blpop(["a"], 1)
     with pytest.raises(redis.ResponseError, match="DB index"):
         one.execute_command("SELECT", 3)
-    assert one.info()["oatlink_version"]
-    assert one.command_count() > 200
+    assert one.info()["oatlink_version"] and one.command_count() > 200
 
 
 def test_keyed_posts_are_dropped_when_repeated(up: Up) -> None:
@@ -211,9 +209,7 @@
         one.close()
         if batch % 10 == 0:
             assert other.get("steady") == "1"
-    assert up.process.poll() is None
-    assert other.get("steady") == "1"
-    assert time.monotonic() - begun < 120
+    assert up.process.poll() is None and other.get("steady") == "1" and time.monotonic() - begun < 120
 
 
 def test_a_client_that_pipelines_and_reads_late_loses_nothing(up: Up) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -332,8 +332,7 @@
     takes = {one.name: one.takes for one in rig.engine.verdicts()}
     assert takes["r"] == "writes and current reads"
     assert takes["p"] == "nothing: role unknown"  # it still says that it is primary
-    assert takes["s"].startswith("reads")
-    assert rig.ask("GET", KEY) is not None
+    assert takes["s"].startswith("reads") and rig.ask("GET", KEY) is not None
 
 
 def test_what_is_no_gateway_is_one_line(tmp_path: Path) -> None:
