Tests of the write and of the hand-over share how they ask, launch and greet

Change: the desk of test_commit.py is the world of test_platform_values.py with its members known; a room launches, serves and greets by itself, and its tests are scenes.

--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -15,12 +15,10 @@
 from oatlink.rules import Router
 from tests.conftest import POST, SETTINGS, VIEW, Driver, member, of, sends
 from tests.test_adapter import OPTIONS
+from tests.test_platform_values import READ, WRITE, Asked, World
 
-READ = b"/* id=9b1f,c=view,d=480,cluster=1 */ SELECT content FROM kv WHERE name = '7f3a'"
-WRITE = (
-    b"/* id=9b1f,c=post,d=2900,k=5c0f,cluster=1 */ "
-    b"INSERT INTO kv (name, content) VALUES ('7f3a', '\\x9f03') RETURNING content"
-)
+READ = READ.replace(b"cluster=2,r=1", b"cluster=1")
+WRITE = WRITE.replace(b"d=480", b"d=2900").replace(b"cluster=2", b"cluster=1")
 
 
 def may(driver: Driver, send: api.Send, attempt: int = 0) -> bool:
@@ -124,12 +122,8 @@
     (send,) = sends(driver.arrive("post", expires=3_000_000))
     driver.ended(send, Outcome.WITHDRAWN, duration=0)
     after = driver.router.book.members[1]
-    assert (after.room, after.refused, after.full_until_us, after.role) == (
-        before.room,
-        before.refused,
-        before.full_until_us,
-        Role.PRIMARY,
-    )
+    unchanged = (before.room, before.refused, before.full_until_us, Role.PRIMARY)
+    assert (after.room, after.refused, after.full_until_us, after.role) == unchanged
     assert not Outcome.WITHDRAWN.may_have_run
 
 
@@ -158,39 +152,31 @@
 # ---- The book of open requests ----
 
 
-class Owner:
-    def __init__(self) -> None:
-        self.finals: list[req.Final] = []
-
-    def answered(self, final: req.Final) -> None:
-        self.finals.append(final)
-
-
-class Desk:
-    """Requests before a Router that knows a primary and two replicas."""
+class Desk(World):
+    """Requests before a Router that knows a primary and two replicas; a test says itself what is written."""
 
     def __init__(self) -> None:
-        self.now = 100_000_000
-        self.book = req.Requests(Router(SETTINGS))
-        entries = tuple(member(number) for number in (1, 2, 3))
-        self.book.handle(api.Roster(RosterKind.WHOLE, entries), self.now)
+        super().__init__(1, Router(SETTINGS))
+        self.slow = 1.0
         for number in (1, 2, 3):
-            role = Role.PRIMARY if number == 1 else Role.REPLICA
-            event = api.Checked(number, Outcome.SERVED, 2_000, api.Report(self.now, role))
-            self.book.handle(event, self.now)
+            report = api.Report(self.now, Role.PRIMARY if number == 1 else Role.REPLICA)
+            self.book.handle(api.Checked(number, Outcome.SERVED, 2_000, report), self.now)
 
-    def ask(self, text: bytes) -> tuple[req.Open, req.Attempt, Owner]:
-        statement = parse(text, {"view": VIEW, "post": POST}, {1})
-        owner = Owner()
-        one, done = self.book.arrived(statement, owner, statement.wait_ms * 1000, self.now, None)
-        (launch,) = [each for each in done if isinstance(each, req.Launch)]
-        return one, launch.attempt, owner
+    def asked(self, text: bytes) -> tuple[req.Open, req.Attempt, Asked]:
+        self.ask(text, 0x9B1F)
+        (attempt,) = [each for each in self.out.values() if each.open is self.open[-1]]
+        return self.open[-1], attempt, self.owners[-1]
+
+    def served(self, attempt: req.Attempt, value: bytes) -> list[req.Tell]:
+        """Who is told of an attempt's answer."""
+        done = self.book.ended(attempt, Outcome.SERVED, self.now, self.now, value)
+        return [each for each in done if isinstance(each, req.Tell)]
 
 
 @pytest.mark.parametrize("written", [True, False])
 def test_a_clients_leaving_takes_back_what_is_not_written_and_only_that(written: bool) -> None:
     desk = Desk()
-    one, attempt, owner = desk.ask(WRITE)
+    one, attempt, owner = desk.asked(WRITE)
     attempt.written = written
     assert desk.book.may_write(attempt, desk.now)
     done = desk.book.departed(one, desk.now)
@@ -198,31 +184,26 @@
     assert any(isinstance(each, req.Abandon) for each in done) == (not written)
     assert attempt.ended == (not written) and not owner.finals
     if written:
-        desk.book.ended(attempt, Outcome.SERVED, desk.now, desk.now, b"value")
+        desk.served(attempt, b"value")
     assert not desk.book._open and not owner.finals, "the answer of the one that left is nobody's"
 
 
 def test_the_same_id_is_free_at_once_when_its_client_has_left() -> None:
     desk = Desk()
-    one, attempt, first = desk.ask(READ)
+    one, attempt, first = desk.asked(READ)
     attempt.written = True
     desk.book.departed(one, desk.now)
     assert not desk.book.is_open(b"9b1f")
-    _, again, second = desk.ask(READ)
-    for each in desk.book.ended(attempt, Outcome.SERVED, desk.now, desk.now, b"the first's"):
-        assert not isinstance(each, req.Tell)
-    (told,) = [
-        each
-        for each in desk.book.ended(again, Outcome.SERVED, desk.now, desk.now, b"its own")
-        if isinstance(each, req.Tell)
-    ]
+    _, again, second = desk.asked(READ)
+    assert not desk.served(attempt, b"the first's")
+    (told,) = desk.served(again, b"its own")
     assert told.owner is second and told.final.payload == b"its own" and not first.finals
 
 
 @pytest.mark.parametrize("written", [True, False])
 def test_at_its_deadline_only_a_written_attempt_can_have_run(written: bool) -> None:
     desk = Desk()
-    _, attempt, _ = desk.ask(WRITE)
+    _, attempt, _ = desk.asked(WRITE)
     attempt.written = written
     heard: list[api.Event] = []
     handle = desk.book.router.handle
@@ -255,25 +236,22 @@
         parse(READ.replace(b"c=view", b"c=" + name), {"view": VIEW, name.decode(): VIEW}, {1})
 
 
-def written_config(place: Path, **changes: Any) -> Path:
+def read(place: Path, options: dict[str, Any]) -> config.Config:
+    """A configuration with these settings."""
     path = place / "config.json"
-    text = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": OPTIONS | changes}
-    path.write_text(json.dumps(text))
-    return path
+    path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": options}))
+    return config.read({"GW_CONFIG": str(path)})
 
 
 def test_settings_without_their_optional_parts_are_enough(tmp_path: Path) -> None:
-    options = {name: OPTIONS[name] for name in ("Classes", "FamilyInfo", "Zone")}
-    path = written_config(tmp_path)
-    path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": options}))
-    found = config.read({"GW_CONFIG": str(path)})
+    found = read(tmp_path, {name: OPTIONS[name] for name in ("Classes", "FamilyInfo", "Zone")})
     assert [rule.effect for rule in found.settings.classes] == [Effect.KEYED, Effect.IDEMPOTENT]
     assert Router(found.settings).handle(api.Start(), 1)
 
 
 def test_a_zone_without_a_name_and_tenants_with_long_or_equal_ones_are_taken(tmp_path: Path) -> None:
     tenants = [{"Name": name, "AllowancePerS": 5.0} for name in ("", "t" * 100_000, "same", "same")]
-    found = config.read({"GW_CONFIG": str(written_config(tmp_path, Zone="", Tenants=tenants))})
+    found = read(tmp_path, OPTIONS | {"Zone": "", "Tenants": tenants})
     assert len(Router(found.settings).book.shares) == 3
 
 
@@ -281,15 +259,14 @@
 def test_classes_with_the_same_name_or_none_are_one_clear_line(tmp_path: Path, names: tuple[str, str]) -> None:
     classes = [OPTIONS["Classes"][0] | {"Name": name} for name in names]
     with pytest.raises(config.ConfigError, match="classes: expected each name once and none empty"):
-        config.read({"GW_CONFIG": str(written_config(tmp_path, Classes=classes))})
+        read(tmp_path, OPTIONS | {"Classes": classes})
 
 
 @pytest.mark.parametrize(("mode", "within_us"), [("push", 700_000), ("ask", 10_000_000)])
 def test_a_pushed_list_is_asked_for_within_the_time_to_stop_sending(tmp_path: Path, mode: str, within_us: int) -> None:
     """Threat: what the agent has counts as told from a process's first moment, and at once when discovery is back."""
     duties = {"AskWithinUs": 10_000_000, "StopSendingWithinUs": 700_000}
-    path = written_config(tmp_path, Discovery=mode, PeersTotal=200, Obligations=duties)
-    found = config.read({"GW_CONFIG": str(path)})
+    found = read(tmp_path, OPTIONS | {"Discovery": mode, "PeersTotal": 200, "Obligations": duties})
     assert (found.settings.must_ask_roster, found.settings.ask_within_us, found.watch_s) == (True, within_us, 2.5)
     for seed in range(20):
         router = Router(replace(found.settings, seed=seed))
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -13,7 +13,7 @@
 from oatlink.platform.reply import Answer
 from oatlink.platform.servers import Bounds, Pool, Servers
 from oatlink.protocols import pgwire as pg
-from tests.platform_world import PATIENCE_S, Server, play
+from tests.platform_world import PATIENCE_S, Server
 from tests.scenes import scene
 
 ASK = pg.make_query(b"SELECT content FROM kv WHERE name = '7f3a'").encode()
@@ -71,6 +71,19 @@
         assert len(job.outcomes) == 1
         return job.outcomes[0]
 
+    def launch(self, *jobs: Errand) -> None:
+        for job in jobs:
+            self.pool.launch(job)
+
+    async def serves(self, job: Errand) -> None:
+        self.launch(job)
+        assert await self.ended(job) is Outcome.SERVED
+
+    def greet(self) -> None:
+        """The server takes up the connections that are dialled."""
+        self.server.greets = True
+        self.server.release.set()
+
 
 @asynccontextmanager
 async def room(dial_s: float = 10 * PATIENCE_S, greets: bool = True) -> AsyncIterator[Room]:
@@ -87,35 +100,29 @@
 
 async def up(one: Room) -> None:
     """One connection stands and idles."""
-    first = Errand()
-    one.pool.launch(first)
-    assert await one.ended(first) is Outcome.SERVED
+    await one.serves(Errand())
     one.server.statements.clear()
 
 
 @scene(room, greets=False)
 async def test_one_withdrawn_while_its_connection_was_dialled_is_not_written_and_the_connection_kept(one: Room) -> None:
     gone, other = Errand(), Errand()
-    one.pool.launch(gone)
+    one.launch(gone)
     await one.until("server.connections == 1")
     gone.may = False
-    one.server.greets = True
-    one.server.release.set()
+    one.greet()
     assert await one.ended(gone) is Outcome.WITHDRAWN
     await one.until("pool.idle")
-    one.pool.launch(other)
-    assert await one.ended(other) is Outcome.SERVED
+    await one.serves(other)
     assert one.server.statements == [ASK[5:-1]] and one.server.connections == 1, "paid for once"
 
 
 @scene(room, greets=False)
 async def test_the_next_that_may_takes_the_place_of_one_that_may_not(one: Room) -> None:
     first, second = Errand(), Errand()
-    one.pool.launch(first)
-    one.pool.launch(second)
+    one.launch(first, second)
     first.may = False
-    one.server.greets = True
-    one.server.release.set()
+    one.greet()
     assert await one.ended(first) is Outcome.WITHDRAWN
     assert await one.ended(second) is Outcome.SERVED
     assert len(one.server.statements) == 1
@@ -124,13 +131,11 @@
 @scene(room, greets=False)
 async def test_the_list_has_spoken_who_waits_and_may_not_go_there_is_told_before_the_dial_ends(one: Room) -> None:
     stays, goes = Errand(), Errand()
-    one.pool.launch(goes)
-    one.pool.launch(stays)
+    one.launch(goes, stays)
     goes.may = False
     one.pool.review()
     assert goes.outcomes == [Outcome.WITHDRAWN] and not stays.outcomes
-    one.server.greets = True
-    one.server.release.set()
+    one.greet()
     assert await one.ended(stays) is Outcome.SERVED
 
 
@@ -139,10 +144,10 @@
     await up(one)
     one.server.mode = ["hang up"]
     written, waits = Errand(), Errand()
-    one.pool.launch(written)
+    one.launch(written)
     await one.until("server.statements")
     one.server.greets = False
-    one.pool.launch(waits)
+    one.launch(waits)
     await one.until("server.connections == 2")
     one.servers.gone(1)
     assert waits.outcomes == [Outcome.WITHDRAWN] and not written.outcomes
@@ -156,30 +161,28 @@
 async def test_a_busy_connection_of_a_server_that_left_ends_with_its_answer(one: Room) -> None:
     await up(one)
     job = Errand()
-    one.pool.launch(job)
+    one.launch(job)
     one.servers.gone(1)  # written, not answered yet
     assert await one.ended(job) is Outcome.SERVED
     await one.until("server.open == 0 and room.servers.open == 0")
 
 
-def test_who_waits_at_an_old_address_is_told_once_the_new_one_stands() -> None:
-    async def scene() -> None:
-        async with room(greets=False) as one, Server(True) as moved:
-            places: list[tuple[str, int]] = []
-
-            class Moving(Errand):
-                def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
-                    super().ended(outcome, at_us, answer)
-                    places.append(one.pool.address)
+@scene(room, greets=False)
+async def test_who_waits_at_an_old_address_is_told_once_the_new_one_stands(one: Room) -> None:
+    async with Server(True) as moved:
+        places: list[tuple[str, int]] = []
 
-            job, again = Moving(), Errand()
-            one.pool.launch(job)
-            one.servers.listed(1, ("127.0.0.1", moved.port))
-            assert job.outcomes == [Outcome.WITHDRAWN] and places == [("127.0.0.1", moved.port)]
-            one.pool.launch(again)
-            assert await one.ended(again) is Outcome.SERVED and len(moved.statements) == 1
+        class Moving(Errand):
+            def ended(self, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
+                super().ended(outcome, at_us, answer)
+                places.append(one.pool.address)
 
-    play(scene())
+        job = Moving()
+        one.launch(job)
+        one.servers.listed(1, ("127.0.0.1", moved.port))
+        assert job.outcomes == [Outcome.WITHDRAWN] and places == [("127.0.0.1", moved.port)]
+        await one.serves(Errand())
+        assert len(moved.statements) == 1
 
 
 @scene(room)
@@ -191,46 +194,42 @@
 
 
 @pytest.mark.parametrize("bytes_first", [True, False])
-def test_bytes_and_a_request_that_meet_on_a_resting_connection(bytes_first: bool) -> None:
+@scene(room)
+async def test_bytes_and_a_request_that_meet_on_a_resting_connection(one: Room, bytes_first: bool) -> None:
     """Half a line before the request: the connection is not used. Behind it: an attempt that may have run."""
-
-    async def scene() -> None:
-        theirs: list[asyncio.StreamWriter] = []
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            theirs.append(writer)
-            head = await reader.readexactly(4)
-            await reader.readexactly(int.from_bytes(head, "big") - 4)
-            writer.write(pg.make_authentication(0).encode() + pg.make_ready().encode())
-            while await reader.read(1000):
-                if len(theirs) > 1:
-                    writer.write(pg.make_error("53300", "full").encode() + pg.make_ready().encode())
-
-        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-        async with room() as one:
-            one.servers.listed(1, ("127.0.0.1", listener.sockets[0].getsockname()[1]))
-            first = Errand()
-            one.pool.launch(first)
-            await one.until("pool.busy")
-            theirs[0].write(pg.make_error("53300", "full").encode() + pg.make_ready().encode())
-            assert await one.ended(first) is Outcome.FULL
-            (connection,) = one.pool.idle
-            job = Errand()
-            if bytes_first:
-                theirs[0].write(b"T\0\0")
-                # In the kernel, not read yet: the loop has had no turn since.
-                while not connection.stream.socket.recv(1, socket.MSG_PEEK):
-                    pass
-                one.pool.launch(job)
-                assert await one.ended(job) is Outcome.FULL and len(theirs) == 2, "on a new connection"
-            else:
-                one.pool.launch(job)
-                theirs[0].write(b"T\0\0")
-                theirs[0].close()
-                assert await one.ended(job) is Outcome.RESET
-        listener.close()
-
-    play(scene())
+    theirs: list[asyncio.StreamWriter] = []
+    full = pg.make_error("53300", "full").encode() + pg.make_ready().encode()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        theirs.append(writer)
+        head = await reader.readexactly(4)
+        await reader.readexactly(int.from_bytes(head, "big") - 4)
+        writer.write(pg.make_authentication(0).encode() + pg.make_ready().encode())
+        while await reader.read(1000):
+            if len(theirs) > 1:
+                writer.write(full)
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    one.servers.listed(1, ("127.0.0.1", listener.sockets[0].getsockname()[1]))
+    first, job = Errand(), Errand()
+    one.launch(first)
+    await one.until("pool.busy")
+    theirs[0].write(full)
+    assert await one.ended(first) is Outcome.FULL
+    (connection,) = one.pool.idle
+    if bytes_first:
+        theirs[0].write(b"T\0\0")
+        # In the kernel, not read yet: the loop has had no turn since.
+        while not connection.stream.socket.recv(1, socket.MSG_PEEK):
+            pass
+        one.launch(job)
+        assert await one.ended(job) is Outcome.FULL and len(theirs) == 2, "on a new connection"
+    else:
+        one.launch(job)
+        theirs[0].write(b"T\0\0")
+        theirs[0].close()
+        assert await one.ended(job) is Outcome.RESET
+    listener.close()
 
 
 @pytest.mark.parametrize("whole", [True, False])
@@ -242,7 +241,7 @@
     connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
     job = Errand() if whole else Errand(text=ASK * 4_000)  # more than is taken by a peer that hangs
     one.server.mode = ["hang up"]
-    one.pool.launch(job)
+    one.launch(job)
     if whole:
         await one.until("server.statements")
     else:
@@ -256,11 +255,11 @@
     await up(one)
     one.server.mode = ["hang"]
     job, other = Errand(), Errand()
-    one.pool.launch(job)
+    one.launch(job)
     await one.until("server.statements")
     one.pool.abandon(job)
     assert not one.pool.busy
-    one.pool.launch(other)
+    one.launch(other)
     one.server.release.set()
     assert await one.ended(other) is Outcome.SERVED
     assert not job.outcomes, "nothing is told of it"
@@ -271,8 +270,7 @@
     one.server._server.close()
     await one.server._server.wait_closed()
     gone, first, second = Errand(), Errand(), Errand()
-    for job in (gone, first, second):
-        one.pool.launch(job)
+    one.launch(gone, first, second)
     one.pool.abandon(gone)
     assert await one.ended(first) is await one.ended(second) is Outcome.NO_CONNECTION
     assert not gone.outcomes and not one.pool.waiting
@@ -281,7 +279,7 @@
 @scene(room, greets=False)
 async def test_who_waits_longer_than_a_dial_may_take_could_not_connect(one: Room) -> None:
     job = Errand()
-    one.pool.launch(job)
+    one.launch(job)
     one.pool.sweep(now_us())
     assert not job.outcomes
     one.pool.sweep(now_us() + round(20 * PATIENCE_S * 1e6))
