Scenes of clients that cross the gateway share their opening and their end

Change: a peer opens its own socket, a home waits for a connection's end, and what was played by hand is a scene.

--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from oatlink.gateway.clock import Marks
@@ -55,28 +55,27 @@
 class Peer:
     """A client's side, on a socket of its own: what the kernel says is what it sees, a reset above all."""
 
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.data = bytearray()
+    def __init__(self, address: Any, small: bool = False) -> None:
+        self.sock, self.data = socket.socket(), bytearray()
+        if small:  # what the kernel holds for it: a few thousand bytes
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        self.sock.connect(address)
+        self.sock.setblocking(False)
 
     def send(self, *parts: bytes) -> None:
         """At once: on loopback it lies in the other's socket when this returns."""
         for part in parts:
-            sent = self.sock.send(part)
-            assert sent == len(part), "more than the kernel takes"
-
-    async def _more(self) -> bool:
-        async with asyncio.timeout(PATIENCE_S):
-            got = await asyncio.get_running_loop().sock_recv(self.sock, 1 << 16)
-        self.data += got
-        return bool(got)
+            assert self.sock.send(part) == len(part), "more than the kernel takes"
 
     async def message(self) -> pg.Message | None:
         """The next message; None at the end. Raises `ConnectionError` at a reset, `EOFError` where one is cut."""
         while len(self.data) < 5 or len(self.data) < 1 + struct.unpack_from("!i", self.data, 1)[0]:
-            if not await self._more():
-                if self.data:
-                    raise EOFError("the end within a message")
+            async with asyncio.timeout(PATIENCE_S):
+                got = await asyncio.get_running_loop().sock_recv(self.sock, 1 << 16)
+            self.data += got
+            if not got and self.data:
+                raise EOFError("the end within a message")
+            if not got:
                 return None
         (size,) = struct.unpack_from("!i", self.data, 1)
         message = pg.Message(bytes(self.data[:1]), bytes(self.data[5 : 1 + size]))
@@ -145,15 +144,9 @@
 
     def knock(self, *parts: bytes) -> Peer:
         """A connection in the listener's queue, with what it sends at once; nobody has had a turn yet."""
-        sock = socket.socket()
-        if self.small:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        sock.connect(self.address)
-        sock.setblocking(False)
-        peer = Peer(sock)
-        self.peers.append(peer)
-        peer.send(*parts)
-        return peer
+        self.peers.append(Peer(self.address, self.small))
+        self.peers[-1].send(*parts)
+        return self.peers[-1]
 
     async def client(self) -> tuple[Peer, Client]:
         """One that has started up, and the gateway's side of it."""
@@ -172,6 +165,11 @@
                     self.clients.sweep()
                 await asyncio.sleep(0.002)
 
+    async def left(self, peer: Peer, client: Client) -> None:
+        """The peer ends its side, and the gateway its own."""
+        peer.sock.close()
+        await self.until(lambda: client.closed)
+
     async def asked(self, count: int) -> None:
         """Wait for so many queries."""
         await self.until(lambda: len(self.asker.texts) >= count)
@@ -179,10 +177,7 @@
     async def watch(self) -> None:
         """Look around again and again, as the gateway does."""
         while True:
-            if self.clients.stopping:
-                self.clients.stop()
-            else:
-                self.clients.sweep()
+            (self.clients.stop if self.clients.stopping else self.clients.sweep)()
             await asyncio.sleep(0.01)
 
 
@@ -205,8 +200,3 @@
         await one.until(lambda: not one.tasks)
         asyncio.get_running_loop().set_exception_handler(None)
     assert not one.faults, one.faults
-
-
-def play(scene: Coroutine[Any, Any, None]) -> None:
-    """Run one scene to its end."""
-    asyncio.run(asyncio.wait_for(scene, 3 * PATIENCE_S))
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -12,7 +12,7 @@
 from oatlink.platform.statement import QUERY_BYTES
 from oatlink.transport import ending
 from oatlink.transport.closing import State
-from tests.client_world import STARTUP, Home, Peer, home, play, query
+from tests.client_world import STARTUP, Home, Peer, home, query
 from tests.scenes import scene
 
 BIG = 60_000  # an answer that small sockets do not take at once
@@ -28,17 +28,13 @@
     await one.asked(1)
     peer.send(query(b"b"), query(b"c"))  # in the gateway's socket, unread
     one.asker.answer(client)
-    if how == "end":
-        client.end(b"")
-    else:
-        client.drain()
+    client.end(b"") if how == "end" else client.drain()
     peer.send(query(b"d"))  # what comes after the shutdown, if it was shut down
     found = await peer.answers()
     assert found[0] == "value of a", "whole, then the end, no reset"
     assert found[1:] == ([] if how == "end" else [REFUSED] * (len(found) - 1)) and len(found) <= 4
     assert one.asker.texts == [b"a"], "what came by the end is never asked"
-    peer.sock.close()
-    await one.until(lambda: client.closed)
+    await one.left(peer, client)
 
 
 @scene(home)
@@ -60,45 +56,40 @@
     peer.send(query(b"a"), query(b"b"))
     assert await peer.answers() == []
     await one.until(lambda: client.ending._closing.discarded > 0)
-    peer.sock.close()
-    await one.until(lambda: client.closed)
+    await one.left(peer, client)
     assert not one.asker.texts
 
 
 @pytest.mark.parametrize("how", ["make room", "relieve"])
-def test_a_request_between_the_look_and_the_drain_is_answered_and_its_connection_does_not_stay(
-    how: str, monkeypatch: pytest.MonkeyPatch
+@scene(home, most=16)
+async def test_a_request_between_the_look_and_the_drain_is_answered_and_its_connection_does_not_stay(
+    one: Home, how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Found by reading: it was kept with those that end, where nobody looked again, refusing each request for good."""
     monkeypatch.setattr(listener, "IDLE_US", 0)
-
-    async def scene() -> None:
-        async with home(most=16) as one:
-            for number in range(13):  # with one more, the bound; all but the last have a query open
-                (await one.client())[0].send(query(b"q%d" % number))
-            await one.asked(13)
-            peer, client = await one.client()
-            look = client.idle_since_us
-
-            def crossed() -> int | None:
-                found = look()
-                peer.send(query(b"crossing"))
-                monkeypatch.undo()
-                return found
-
-            monkeypatch.setattr(client, "idle_since_us", crossed)
-            if how == "make room":
-                one.knock(STARTUP)
-                await one.until(lambda: len(one.clients.all) + len(one.clients._ending) > 14)
-            else:
-                one.clients.sweep()
-            assert client.ending.state is State.DRAINING
-            assert await peer.answer() == REFUSED
-            await one.until(lambda: client.is_ending, sweeps=True)
-            assert await peer.answers() == []
-            assert b"crossing" not in one.asker.texts
-
-    play(scene())
+    for number in range(13):  # with one more, the bound; all but the last have a query open
+        (await one.client())[0].send(query(b"q%d" % number))
+    await one.asked(13)
+    peer, client = await one.client()
+    look = client.idle_since_us
+
+    def crossed() -> int | None:
+        found = look()
+        peer.send(query(b"crossing"))
+        monkeypatch.undo()
+        return found
+
+    monkeypatch.setattr(client, "idle_since_us", crossed)
+    if how == "make room":
+        one.knock(STARTUP)
+        await one.until(lambda: len(one.clients.all) + len(one.clients._ending) > 14)
+    else:
+        one.clients.sweep()
+    assert client.ending.state is State.DRAINING
+    assert await peer.answer() == REFUSED
+    await one.until(lambda: client.is_ending, sweeps=True)
+    assert await peer.answers() == []
+    assert b"crossing" not in one.asker.texts
 
 
 @scene(home, most=16)
@@ -143,8 +134,7 @@
     asked = len(one.asker.texts)
     assert found[:asked] == [f"value of k{number}" for number in range(asked)]
     assert len(found) > asked and set(found[asked:]) == {REFUSED}, "one answer each, in order"
-    peer.sock.close()
-    await one.until(lambda: client.closed)
+    await one.left(peer, client)
 
 
 @pytest.mark.parametrize("goes_on", [True, False])
@@ -160,22 +150,15 @@
         peer.send(text[7:])
     assert await peer.answers() == ([REFUSED] if goes_on else [])
     assert not one.asker.texts
-    peer.sock.close()
-    await one.until(lambda: client.closed)
+    await one.left(peer, client)
 
 
 @scene(home, watched=True)
 async def test_what_waits_in_the_listeners_queue_at_the_end_is_not_reset(one: Home) -> None:
-    asks = [one.knock(STARTUP + query(b"a")) for _ in range(20)]
-    starts = [one.knock(STARTUP) for _ in range(20)]
-    silent = [one.knock() for _ in range(5)]
+    sent = [STARTUP + query(b"a")] * 20 + [STARTUP] * 20 + [b""] * 5
+    peers = [one.knock(text) for text in sent]
     one.clients.stop()
-    for each in asks:
-        assert await each.answers() == ["", REFUSED]
-    for each in starts:
-        assert await each.answers() == [""]
-    for each in silent:
-        assert await each.answers() == []
+    assert [await each.answers() for each in peers] == [["", REFUSED]] * 20 + [[""]] * 20 + [[]] * 5
     assert not one.asker.texts
 
 
@@ -248,20 +231,16 @@
     await one.until(lambda: not one.clients.open)
 
 
-def test_a_peer_that_takes_its_last_answer_late_and_never_ends_its_side_is_closed(
-    monkeypatch: pytest.MonkeyPatch,
+@scene(home, small=True, watched=True)
+async def test_a_peer_that_takes_its_last_answer_late_and_never_ends_its_side_is_closed(
+    one: Home, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(ending, "LINGER_S", 0.5)
-
-    async def scene() -> None:
-        async with home(small=True, watched=True) as one:
-            peer, client = await unread(one)
-            one.clients.stop()  # its time to take the answer runs
-            assert await peer.answers() == ["value of a"]
-            await one.until(lambda: client.closed)  # its time to end came after, and was looked for again
-            assert not one.clients.open
-
-    play(scene())
+    peer, client = await unread(one)
+    one.clients.stop()  # its time to take the answer runs
+    assert await peer.answers() == ["value of a"]
+    await one.until(lambda: client.closed)  # its time to end came after, and was looked for again
+    assert not one.clients.open
 
 
 @pytest.mark.parametrize("how", ["reset", "close"])
@@ -278,41 +257,32 @@
     await one.until(lambda: (client._reader.pending > QUERY_BYTES) == bool(behind))
     one.asker.answer(client)
     assert client.stream.writing()
-    if how == "reset":
-        peer.reset()
-    else:
-        peer.sock.close()
+    peer.reset() if how == "reset" else peer.sock.close()
     await one.until(lambda: client not in one.clients.all)
     assert client.closed and not one.asker.gone, "it was answered"
     assert one.asker.texts == [b"a"]
 
 
-def test_silent_and_slow_connections_without_number_are_bounded_and_others_are_served(
-    monkeypatch: pytest.MonkeyPatch,
+@scene(home, most=64, watched=True)
+async def test_silent_and_slow_connections_without_number_are_bounded_and_others_are_served(
+    one: Home, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(connection, "SILENT_US", 200_000)
-
-    async def scene() -> None:
-        async with home(most=64, watched=True) as one:
-            one.asker.at_once = True
-            usual, _ = await one.client()
-            usual.send(query(b"before"))
-            assert await usual.answer() == "value of before"
-            slow = [one.knock(STARTUP[: number % 4]) for number in range(300)]  # none, or a few bytes, and no more
-            await one.until(lambda: len(one.clients.all) > 50)
-            for number in range(50):
-                usual.send(query(b"k%d" % number))
-                assert await usual.answer() == f"value of k{number}"
-                for each in slow[number::50]:
-                    with contextlib.suppress(OSError):  # it has been sent away
-                        each.send(STARTUP[4:5])
-                assert one.clients.open <= 64
-            while True:  # one that is sent away comes again
-                fresh = one.knock(STARTUP)
-                if await fresh.answer() == "":
-                    break
-            fresh.send(query(b"fresh"))
-            assert await fresh.answer() == "value of fresh"
-            await one.until(lambda: len(one.clients.all) <= 2)
-
-    play(scene())
+    one.asker.at_once = True
+    usual, _ = await one.client()
+    usual.send(query(b"before"))
+    assert await usual.answer() == "value of before"
+    slow = [one.knock(STARTUP[: number % 4]) for number in range(300)]  # none, or a few bytes, and no more
+    await one.until(lambda: len(one.clients.all) > 50)
+    for number in range(50):
+        usual.send(query(b"k%d" % number))
+        assert await usual.answer() == f"value of k{number}"
+        for each in slow[number::50]:
+            with contextlib.suppress(OSError):  # it has been sent away
+                each.send(STARTUP[4:5])
+        assert one.clients.open <= 64
+    while await (fresh := one.knock(STARTUP)).answer() != "":
+        pass  # one that is sent away comes again
+    fresh.send(query(b"fresh"))
+    assert await fresh.answer() == "value of fresh"
+    await one.until(lambda: len(one.clients.all) <= 2)
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import signal
-import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -12,7 +11,7 @@
 
 from oatlink.protocols import pgwire as pg
 from tests.client_world import STARTUP, Peer, query
-from tests.platform_world import PATIENCE_S, World, in_a_place, play, world
+from tests.platform_world import PATIENCE_S, Client, World, in_a_place, play, world
 from tests.scenes import scene
 from tests.test_platform_sockets import settled, sqlstate, value, view
 
@@ -26,8 +25,11 @@
 """
 
 
-async def ended(one: World) -> None:
-    """Wait for the process to end, in order."""
+async def ended(one: World, client: Client | None = None) -> None:
+    """Wait for the process to end, in order, and its client's connection before it."""
+    if client is not None:
+        assert await client.closed()
+        client.writer.close()
     async with asyncio.timeout(PATIENCE_S):
         code = await one.process.wait()
         await one._reading
@@ -39,16 +41,14 @@
 async def starting(place: Path, where: str) -> AsyncIterator[World]:
     """A gateway that stands still in its start, at its imports or at its configuration; behind the body it goes on."""
     async with world(place, replicas=0, running=False) as one:
-        gate, stub = place / "gate", place / "stub"
+        gate, stub = place / "gate" if where == "imports" else one.path, place / "stub"
+        gate.unlink(missing_ok=True)
         os.mkfifo(gate)
+        stub.mkdir()
         if where == "imports":
-            stub.mkdir()
             (stub / "uvloop.py").write_text(GATE.format(gate=str(gate), place=str(stub)))
-            await one.launch(PYTHONPATH=str(stub))
-        else:
-            gate.replace(one.path)
-            await one.launch()
-        writing = await asyncio.to_thread(os.open, gate if where == "imports" else one.path, os.O_WRONLY)
+        await one.launch(PYTHONPATH=str(stub))
+        writing = await asyncio.to_thread(os.open, gate, os.O_WRONLY)
         try:
             yield one
             one.write(one.discovery.address)
@@ -108,9 +108,7 @@
     storm = asyncio.ensure_future(again())
     one.servers[0].release.set()
     assert value(await client.until_ready()) == b"value of 7f3a"
-    assert await client.closed()
-    client.writer.close()
-    await ended(one)
+    await ended(one, client)
     await storm
     assert sum("stopping" in line for line in one.lines) == 1
 
@@ -123,19 +121,13 @@
     await one.logged("reload: ")
     one.signal(signal.SIGTERM)
     assert value(await client.ask(view())) == b"value of 7f3a"
-    assert await client.closed()
-    client.writer.close()
-    await ended(one)
+    await ended(one, client)
 
 
 @scene(in_a_place, replicas=0)
 async def test_a_client_that_reads_only_after_the_process_has_ended_finds_all_its_answers(one: World) -> None:
     await settled(one)
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    sock.connect(one.address)
-    sock.setblocking(False)
-    peer, server = Peer(sock), one.servers[0]
+    peer, server = Peer(one.address, small=True), one.servers[0]
     server.mode = "held"
     seen = len(server.statements)
     peer.send(STARTUP + query(view("k0")))
@@ -148,7 +140,7 @@
     found = await peer.answers()
     assert found[:2] == ["", "value of k0"], "taken before, read whole after"
     assert found[2:] in (["value of k1", "value of k2"], ["value of k1", "53300"], ["53300", "53300"])
-    sock.close()
+    peer.sock.close()
 
 
 @scene(in_a_place, replicas=0)
