--- a/tests/discovery_script.py
+++ b/tests/discovery_script.py
@@ -60,10 +60,8 @@
 
     async def let_go(self) -> None:
         """Wait until the other side has closed."""
-        async with asyncio.timeout(PATIENCE_S):
-            with contextlib.suppress(ConnectionError):
-                while await self.reader.read(1024):
-                    pass
+        with contextlib.suppress(ConnectionError):
+            await asyncio.wait_for(self.reader.read(), PATIENCE_S)
 
 
 class Script:
@@ -96,8 +94,7 @@
 
     async def call(self) -> Call:
         """The next call."""
-        async with asyncio.timeout(PATIENCE_S):
-            return await self._calls.get()
+        return await asyncio.wait_for(self._calls.get(), PATIENCE_S)
 
     @property
     def quiet(self) -> bool:
@@ -106,8 +103,7 @@
 
     async def follows(self, version: int = 0, fetch: bool = False) -> Call:
         """The first call of a watch from this version on, if there is one; asking for the whole list, too."""
-        if version:
-            self.one.version = version
+        self.one.version = version or self.one.version
         self.one.follow()
         if fetch:
             self.one.fetch()
@@ -127,8 +123,7 @@
         """The version and who drains by what is heard next, after this end of a call; None: a call has failed."""
         if call is not None:
             await call.end(data)
-        async with asyncio.timeout(PATIENCE_S):
-            self.last = await self.news.get()
+        self.last = await asyncio.wait_for(self.news.get(), PATIENCE_S)
         if self.last is None:
             return None
         return self.last.version, {one.id for one in self.last.servers if one.listing is Listing.TERMINATING}
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -32,9 +32,7 @@
 
 @dataclass(frozen=True)
 class Passed:
-    """Time, and then a look at the clock."""
-
-    us: int
+    us: int  # then a look at the clock
 
 
 @dataclass(frozen=True)
@@ -52,10 +50,7 @@
 
 
 def carry_out(closing: Closing, events: list[Event]) -> Iterator[tuple[Event, State, Step, int]]:
-    """Give it the events as an owner does: what comes is discarded only where it says so.
-
-    Yields each with the state before it, what is to be done, and when.
-    """
+    """Each event as an owner gives it, with the state before it, what is to be done, and when."""
     now_us = 0
     for event in events:
         before, step = closing.state, Step.NONE
@@ -64,8 +59,8 @@
                 closing.drain(event.is_deaf)
             case Settle():
                 step = closing.settle(event.is_owed, event.is_unsent, now_us)
-            case Came():
-                step = closing.came(event.size) if closing.discards else Step.NONE
+            case Came() if closing.discards:
+                step = closing.came(event.size)
             case Passed():
                 now_us += event.us
                 step = closing.passed(now_us)
@@ -104,10 +99,8 @@
 @given(LIVE, st.lists(st.tuples(st.integers(0, LINGER_US // 4), st.booleans()), min_size=16))
 def test_one_that_owes_nothing_closes_within_two_lingers(events: list[Event], looks: list[tuple[int, bool]]) -> None:
     closing = Closing(LINGER_US, MOST_BYTES)
-    now_us = 0
-    for _, _, _, at_us in carry_out(closing, [*events, Drain(False)]):
-        now_us = at_us
-    from_us = now_us
+    *_, (_, _, _, from_us) = carry_out(closing, [*events, Drain(False)])
+    now_us = from_us
     for us, is_unsent in [*looks, *[(LINGER_US // 4, True)] * 8]:
         closing.settle(False, is_unsent, now_us)
         now_us += us
@@ -131,8 +124,7 @@
     closing = Closing(LINGER_US, MOST_BYTES)
     for _, before, step, _ in carry_out(closing, events):
         if before is not State.CLOSED:
-            assert closing.discarded <= MOST_BYTES + CHUNK
-            assert closing.discarded <= MOST_BYTES or step is Step.CLOSE
+            assert closing.discarded <= (MOST_BYTES + CHUNK if step is Step.CLOSE else MOST_BYTES)
 
 
 def test_the_time_to_send_and_the_time_to_end_are_counted_apart() -> None:
--- a/tests/test_discovery_calls.py
+++ b/tests/test_discovery_calls.py
@@ -33,8 +33,7 @@
     for _ in range(turns or 0):  # most likely it is read by then: one that is not has to come to the same
         await asyncio.sleep(0)
     await call.end() if turns is None else call.reset()
-    assert await at.hears() == ((version, set()) if version else None)
-    assert at.one.version == version
+    assert await at.hears() == ((version, set()) if version else None) and at.one.version == version
 
 
 BODY = page(7, a="in_service", b="terminating")
@@ -97,13 +96,11 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))  # and does not listen
         at.one.move(sock.getsockname())
-        assert await at.hears() is None
-        assert "refused" in at.lines[-1]
+        assert await at.hears() is None and "refused" in at.lines[-1]
 
 
 # ---- Bounds ----
 
-
 ENDLESS = {  # how it begins, and what comes again and again
     "body": (OK + b"\r\n", b" " * 65_536),
     "length": (OK + b"Content-Length: 99999999999\r\n\r\n", b" " * 65_536),
@@ -222,7 +219,6 @@
     one.fetch()
     call = await at.call()
     await call.end(whole(7))
-    async with asyncio.timeout(PATIENCE_S):
-        await done.wait()
+    await asyncio.wait_for(done.wait(), PATIENCE_S)
     await call.let_go()
     assert at.quiet
--- a/tests/test_discovery_order.py
+++ b/tests/test_discovery_order.py
@@ -138,8 +138,7 @@
 class Pending(asyncio.Future[bytes]):
     """A call under way; its answer is written at one moment and comes at another."""
 
-    path = ""
-    written = b""
+    path, written = "", b""
 
     def come(self) -> None:
         if self.written and not self.done():
@@ -169,9 +168,8 @@
 
     async def get(self, address: tuple[str, int], path: str, dial_s: float, most_s: float, marks: Marks) -> bytes:
         """In place of a call over the network."""
-        call = Pending()
+        self.calls.append(call := Pending())
         call.path = path
-        self.calls.append(call)
         try:
             return await call
         finally:
@@ -201,8 +199,7 @@
 
     def told(self, news: News | None) -> None:
         servers = news.servers if news is not None else ()
-        if any(server.zone == str(self.put_back) for server in servers):
-            self.behind = False
+        self.behind &= all(server.zone != str(self.put_back) for server in servers)
         for server in servers:
             listing, written = self.belief[server.id]
             if listing is not server.listing and server.group <= written:
@@ -240,11 +237,10 @@
 
 
 WHATS = ["change", "change", "put back", "write", "write", "write all", "come", "come", "come", "fail"]
-STEPS = st.lists(st.tuples(st.sampled_from(WHATS), st.integers(0, 3)), max_size=60)
 
 
 @settings(max_examples=400, deadline=None)
-@given(STEPS)
+@given(st.lists(st.tuples(st.sampled_from(WHATS), st.integers(0, 3)), max_size=60))
 def test_in_any_order_no_older_answer_undoes_a_newer_one_and_the_version_followed_is_discoverys(
     steps: list[tuple[str, int]],
 ) -> None:
@@ -259,7 +255,6 @@
         return one
 
     one = asyncio.run(played())
-    assert not one.undone
-    assert one.one.version <= len(one.log)
+    assert not one.undone and one.one.version <= len(one.log)
     if one.put_back < 2:
         assert {name: one.belief[name][0] for name in NAMES} == {name: one.state(name) for name in NAMES}
--- a/tests/test_gateway_crossings.py
+++ b/tests/test_gateway_crossings.py
@@ -101,14 +101,15 @@
         self.clients.append(one)
         return one
 
-    async def wire(self) -> Wire:
-        """A client that waits for its answers."""
+    async def wire(self, *words: str) -> Wire:
+        """A client that waits for its answers; it has asked this, and the answer was OK."""
         self.wires.append(await Wire.open(self.port))
+        assert not words or await self.wires[-1].ask(*words) == OK
         return self.wires[-1]
 
     async def serves(self, *commands: str) -> None:
         """Another client is served, and these are all commands that the box ever got."""
-        assert await (await self.wire()).ask("GET", "k") == OK
+        await self.wire("GET", "k")
         assert self.box.commands == list(commands)
 
     async def sees_leave(self, client: socket.socket) -> None:
@@ -241,7 +242,7 @@
     client.close()  # a reset
     one.box.answers.set()
     await until(lambda: not one.gateway._clients)
-    assert await (await one.wire()).ask("GET", "k") == OK
+    await one.wire("GET", "k")
     assert len(one.box.commands) <= 64 + 1  # what was held is not even begun
 
 
@@ -353,8 +354,7 @@
 @scene(world)
 async def test_exec_is_not_sent_where_nothing_is_watched_any_more(one: World) -> None:
     """The client's own connection ends while nothing is on it: nobody is told by an answer."""
-    wire = await one.wire()
-    assert await wire.ask("WATCH", "k") == OK
+    wire = await one.wire("WATCH", "k")
     assert one.box.last is not None
     one.box.last.close()
     await until(lambda: not one.link._leases)
@@ -368,10 +368,9 @@
 @scene(world)
 async def test_exec_is_not_sent_to_another_box_of_the_same_name(one: World) -> None:
     async with Box("two") as moved:
-        wire = await one.wire()
-        assert await wire.ask("WATCH", "k") == OK
+        wire = await one.wire("WATCH", "k")
         one.list(address=moved.address)
-        assert await (await one.wire()).ask("GET", "k") == OK
+        await one.wire("GET", "k")
         assert isinstance(await transaction(wire), resp.Null)
         assert one.box.commands == ["WATCH"] and moved.commands == ["GET"]
 
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -2,17 +2,17 @@
 
 import asyncio
 import signal
-from pathlib import Path
 from typing import Any
 
 from oatlink.protocols import pgwire as pg
-from tests.platform_world import PATIENCE_S, World, in_a_place, play, world
+from tests.platform_world import PATIENCE_S, Discovery, Server, World, in_a_place
 from tests.scenes import scene
 from tests.test_adapter import OPTIONS
 from tests.test_platform_sockets import post, settled, sqlstate, value, view
 
 # Connections may take as long as a test holds them.
 SLOW = OPTIONS | {"Limits": OPTIONS["Limits"] | {"DialTimeoutUs": round(4 * PATIENCE_S * 1e6)}}
+LONG = SLOW["Limits"] | {"KeepaliveUs": round(1e6 * 3600)}
 
 
 async def waiting(one: World, ask: bytes, number: int = 0) -> Any:
@@ -27,6 +27,17 @@
     return client
 
 
+def greet(server: Server) -> None:
+    server.greets = True
+    server.release.set()
+
+
+async def reload(one: World, discovery: str, settings: dict[str, Any] = OPTIONS) -> None:
+    one.write(discovery, settings=settings)
+    one.signal(signal.SIGHUP)
+    await one.logged("reload: ")
+
+
 @scene(in_a_place, replicas=0, settings=SLOW)
 async def test_a_client_leaves_while_its_request_waits_for_a_connection(one: World) -> None:
     client = await waiting(one, post())
@@ -34,8 +45,7 @@
     client.writer.close()
     # The gateway has seen it go once the id is free again, whoever asks by it next.
     other = await one.client()
-    server.greets = True
-    server.release.set()
+    greet(server)
     assert value(await other.ask(post())) == b"value of 7f3a"
     assert len(server.statements) == 1, "what nobody waits for was not sent on"
 
@@ -48,8 +58,7 @@
     entries[0]["state"] = "terminating"
     one.discovery.tell(entries)
     await one.follows()
-    server.greets = True
-    server.release.set()
+    greet(server)
     await one.until(lambda: server.open > 0)
     one.discovery.tell(entries)
     await one.follows()
@@ -60,18 +69,15 @@
     assert len(server.statements) == 1
 
 
-def test_a_server_moves_while_a_request_waits_for_a_connection_to_its_old_address(tmp_path: Path) -> None:
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0, settings=SLOW) as one, type(one.servers[0])(True) as moved:
-            client = await waiting(one, post(wait_ms=60_000))
-            one.discovery.tell([one.entries()[0] | {"addr": f"127.0.0.1:{moved.port}"}])
-            assert value(await client.until_ready()) == b"value of 7f3a"
-            one.servers[0].greets = True
-            one.servers[0].release.set()
-            await one.until(lambda: one.servers[0].open == 0)
-            assert not one.servers[0].statements and len(moved.statements) == 1
-
-    play(scene())
+@scene(in_a_place, replicas=0, settings=SLOW)
+async def test_a_server_moves_while_a_request_waits_for_a_connection_to_its_old_address(one: World) -> None:
+    async with Server(True) as moved:
+        client = await waiting(one, post(wait_ms=60_000))
+        one.discovery.tell([one.entries()[0] | {"addr": f"127.0.0.1:{moved.port}"}])
+        assert value(await client.until_ready()) == b"value of 7f3a"
+        greet(one.servers[0])
+        await one.until(lambda: one.servers[0].open == 0)
+        assert not one.servers[0].statements and len(moved.statements) == 1
 
 
 @scene(in_a_place)
@@ -83,9 +89,7 @@
     await one.until(lambda: any(server.statements[-1:] for server in one.servers[1:]))
     classes = [OPTIONS["Classes"][0], OPTIONS["Classes"][1] | {"Name": "look"}]
     limits = OPTIONS["Limits"] | {"MaxOpen": 1}
-    one.write(one.discovery.address, settings=OPTIONS | {"Classes": classes, "Limits": limits})
-    one.signal(signal.SIGHUP)
-    await one.logged("reload: ")
+    await reload(one, one.discovery.address, OPTIONS | {"Classes": classes, "Limits": limits})
     assert sqlstate(await other.ask(view())) == "22023", "the class is no more"
     for _ in range(6):  # a refusal is no mistake of the client's
         assert sqlstate(await other.ask(view(name="look"))) == "53300", "one may be open now, and one is"
@@ -97,24 +101,16 @@
     assert value(await other.ask(view(name="look"))) == b"value of 7f3a"
 
 
-def test_dial_and_idle_times_of_a_new_configuration_count_at_once(tmp_path: Path) -> None:
-    limits = SLOW["Limits"] | {"KeepaliveUs": round(1e6 * 3600)}
-
-    async def scene() -> None:
-        async with world(tmp_path, replicas=0, settings=SLOW | {"Limits": limits}) as one:
-            client = await waiting(one, post(wait_ms=60_000))
-            one.write(one.discovery.address, settings=OPTIONS)  # a quarter of a second
-            one.signal(signal.SIGHUP)
-            await one.logged("reload: ")
-            assert sqlstate(await client.until_ready()) == "53300", "not waited for as long as the old figure says"
-            one.servers[0].greets = True
-            one.servers[0].release.set()
-            assert value(await client.ask(post())) == b"value of 7f3a"
-            one.write(one.discovery.address, settings=OPTIONS | {"Limits": limits | {"KeepaliveUs": 100_000}})
-            one.signal(signal.SIGHUP)
-            await one.until(lambda: one.servers[0].open == 0)
-
-    play(scene())
+@scene(in_a_place, replicas=0, settings=SLOW | {"Limits": LONG})
+async def test_dial_and_idle_times_of_a_new_configuration_count_at_once(one: World) -> None:
+    client = await waiting(one, post(wait_ms=60_000))
+    await reload(one, one.discovery.address)  # a quarter of a second
+    assert sqlstate(await client.until_ready()) == "53300", "not waited for as long as the old figure says"
+    greet(one.servers[0])
+    assert value(await client.ask(post())) == b"value of 7f3a"
+    one.write(one.discovery.address, settings=OPTIONS | {"Limits": LONG | {"KeepaliveUs": 100_000}})
+    one.signal(signal.SIGHUP)
+    await one.until(lambda: one.servers[0].open == 0)
 
 
 @scene(in_a_place, replicas=0)
@@ -153,7 +149,7 @@
 
 @scene(in_a_place, replicas=1, running=False)
 async def test_discovery_is_down_at_the_start_and_at_sighup_and_what_it_says_at_its_return_counts(one: World) -> None:
-    async with type(one.discovery)() as dead, type(one.discovery)() as later:
+    async with Discovery() as dead, Discovery() as later:
         dead._server.close()
         later._server.close()
         one.write(dead.address)
@@ -161,9 +157,7 @@
         try:
             client = await settled(one)
             await one.logged("discovery: /v1/endpoints")
-            one.write(later.address)
-            one.signal(signal.SIGHUP)
-            await one.logged("reload: ")
+            await reload(one, later.address)
             assert value(await client.ask(view())) == b"value of 7f3a", "the list it had stands"
             later.entries, later.version = [entry | {"state": "terminating"} for entry in one.entries()[1:]], 7
             later.entries += one.entries()[:1]
