--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -13,7 +13,6 @@
 
 NAME = "KNOWN-RED.txt"
 MOST = 3
-FORM = "test id | cause | issue number"
 
 
 class ListError(Exception):
@@ -41,7 +40,7 @@
         where = f"{NAME} line {number}"
         parts = [part.strip() for part in line.split("|")]
         if len(parts) != 3 or not all(parts):
-            raise ListError(f"{where}: expected '{FORM}', found {line.strip()!r}")
+            raise ListError(f"{where}: expected 'test id | cause | issue number', found {line.strip()!r}")
         test, cause, issue = parts
         if "::" not in test:
             raise ListError(f"{where}: {test!r} is no test id, expected 'tests/file.py::test'")
@@ -64,8 +63,6 @@
             raise ListError(f"{NAME}: no collected test has the id {red.test}")
 
 
-# What a conftest.py takes over.
-
 REDS = pytest.StashKey[tuple[Red, ...]]()
 
 
--- a/tests/test_gateway_crossings.py
+++ b/tests/test_gateway_crossings.py
@@ -267,8 +267,7 @@
     one: World, words: Words
 ) -> None:
     ends = given_to(one.gateway, m.Ended)
-    client = await waits(one, *words)
-    await one.sees_leave(client)
+    await one.sees_leave(await waits(one, *words))
     assert [each.how for each in ends] == ["withdrawn"]  # at once, and the box is not blamed for it
     one.box.greets.set()
     await one.serves("GET")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -36,9 +36,8 @@
     env = kept | {"PYTHONPATH": str(ROOT), "PYTHONDONTWRITEBYTECODE": "1", "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
     words = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *options]
     done = subprocess.run(words, cwd=place, env=env, capture_output=True, text=True, timeout=60)
-    out = done.stdout + done.stderr
-    assert done.returncode == ends, out
-    return out
+    assert done.returncode == ends, done.stdout + done.stderr
+    return done.stdout + done.stderr
 
 
 FAILS = "def test_red():\n    assert 1 + 1 == 3\n\ndef test_good():\n    pass\n"
@@ -54,11 +53,8 @@
 
 def test_lines_and_comments() -> None:
     text = f"# why\n\n{RED}  tests/a.py::test_b[x-1]|late by one | #7 \n"
-    assert parse(text) == (
-        Red("checks/test_it.py::test_red", "sums are wrong", 12),
-        Red("tests/a.py::test_b[x-1]", "late by one", 7),
-    )
-    assert parse("") == ()
+    two = Red("checks/test_it.py::test_red", "sums are wrong", 12), Red("tests/a.py::test_b[x-1]", "late by one", 7)
+    assert parse(text) == two and parse("") == ()
 
 
 FORM = "expected 'test id | cause | issue number'"
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -17,8 +17,7 @@
 
 async def waiting(one: World, ask: bytes, number: int = 0) -> Any:
     """A client whose request waits for a connection to a server, and the server's dial that is under way."""
-    client = await settled(one)
-    server = one.servers[number]
+    client, server = await settled(one), one.servers[number]
     before = server.connections
     server.statements.clear()
     server.hang_up()
@@ -40,8 +39,7 @@
 
 @scene(in_a_place, replicas=0, settings=SLOW)
 async def test_a_client_leaves_while_its_request_waits_for_a_connection(one: World) -> None:
-    client = await waiting(one, post())
-    server = one.servers[0]
+    client, server = await waiting(one, post()), one.servers[0]
     client.writer.close()
     # The gateway has seen it go once the id is free again, whoever asks by it next.
     other = await one.client()
@@ -52,8 +50,7 @@
 
 @scene(in_a_place, replicas=0, settings=SLOW)
 async def test_a_drain_is_told_while_a_request_waits_for_a_connection(one: World) -> None:
-    client = await waiting(one, post(wait_ms=60_000))
-    server = one.servers[0]
+    client, server = await waiting(one, post(wait_ms=60_000)), one.servers[0]
     entries = one.entries()
     entries[0]["state"] = "terminating"
     one.discovery.tell(entries)
@@ -116,8 +113,7 @@
 @scene(in_a_place, replicas=0)
 async def test_a_server_closes_its_resting_connections_just_as_requests_come(one: World) -> None:
     """What finds its connection closed goes on another; what was written on one that closes may have run."""
-    client = await settled(one)
-    server = one.servers[0]
+    client, server = await settled(one), one.servers[0]
     for _ in range(20):
         for writer in list(server.writers):
             writer.close()
@@ -128,8 +124,7 @@
 
 @scene(in_a_place, replicas=0)
 async def test_a_request_behind_one_that_is_open_is_not_sent_on_once_its_client_has_gone(one: World) -> None:
-    client = await settled(one)
-    server = one.servers[0]
+    client, server = await settled(one), one.servers[0]
     server.statements.clear()
     server.mode = ["hang"]
     client.writer.write(pg.make_query(post()).encode() + pg.make_query(post()).encode())
