--- a/oatlink/core/boxes.py
+++ b/oatlink/core/boxes.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oatlink import interface as api
+from oatlink.beliefs import belief as belief_of
 from oatlink.core import messages as m
 from oatlink.core import outcomes
 from oatlink.core.reports import BoxReport, parse_info
@@ -67,7 +68,7 @@
             self._route(api.Roster(api.RosterKind.CHANGES, (self._entry(state),)))
 
     def _is_primary(self, state: BoxState) -> bool:
-        belief = self.router.belief(state.member)
+        belief = belief_of(self.router, state.member)
         return belief is not None and belief.primary
 
     def _on_inspected(self, given: m.AnyInput) -> None:
@@ -109,6 +110,10 @@
         """A box has left, or another has its name now: nothing of it is awaited."""
         name = state.box.name
         self._check_waits.pop(name, None)
+        for session in self._sessions.values():
+            if session.lease_box == name:
+                # Threat: EXEC at whoever has that name next, where nothing is watched.
+                session.lease_lost = True
         for key in [one for one in self._races if one[0] == name]:
             del self._races[key]  # the next link of that name counts its dials from 1 again
         if state.report is not None and self._runs.get(state.report.run_id) == name:
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -20,6 +20,10 @@
 class Decider(Protocol):
     """What decides: the Router."""
 
+    def may_write(self, request: str, attempt: int, now_us: int) -> bool:
+        """Whether an attempt that it has sent may still be written; nothing changes."""
+        ...
+
     def handle(self, event: api.Event, now_us: int) -> list[api.Action]:
         """Take one event and return what to do."""
         ...
@@ -42,6 +46,7 @@
     member: int
     started_us: int
     ended: bool = False
+    written: bool = False  # committed to a connection; until then it may be taken back
 
     def payload(self, now_us: int) -> bytes:
         """The statement, with the time that is left."""
@@ -149,11 +154,23 @@
         return one, self.handle(event, now_us)
 
     def departed(self, one: Open, now_us: int) -> list[Do]:
-        """The client has left. What is out goes on to its end, as the Router takes it to."""
+        """The client has left. What is written goes on to its end, as the Router takes it to; the rest is undone."""
         if one.over:
             return []
         self._close(one)
-        return self.handle(api.Departure(one.id), now_us)
+        done = self.handle(api.Departure(one.id), now_us)
+        for attempt in one.out:
+            if not attempt.written:
+                self._do.append(Abandon(attempt))
+                done += self.ended(attempt, Outcome.WITHDRAWN, now_us, now_us)
+        return done
+
+    def may_write(self, attempt: Attempt, now_us: int) -> bool:
+        """Whether an attempt may be written now: its client is there, its time not up, the Router has not changed."""
+        one = attempt.open
+        if attempt.ended or one.over or now_us >= one.expires_us:
+            return False
+        return self.router.may_write(one.id, attempt.number, now_us)
 
     def ended(
         self,
@@ -190,7 +207,7 @@
         return self._ends[0][0] if self._ends else None
 
     def expire(self, now_us: int) -> list[Do]:
-        """End what has no time left: LATE for each attempt out, then the final answer is due."""
+        """End what has no time left: LATE for each attempt written and out, then the final answer is due."""
         done: list[Do] = []
         while self._ends and self._ends[0][0] <= now_us:
             one = self._open.get(heapq.heappop(self._ends)[1])
@@ -198,7 +215,8 @@
                 continue
             for attempt in one.out:
                 self._do.append(Abandon(attempt))
-                done += self.ended(attempt, Outcome.LATE, now_us, now_us)
+                outcome = Outcome.LATE if attempt.written else Outcome.WITHDRAWN
+                done += self.ended(attempt, outcome, now_us, now_us)
             if not one.over:
                 self._do.append(Defect(f"class {one.statement.rule.name}: unanswered at its deadline"))
                 self._final(one, FAILED)
@@ -249,10 +267,9 @@
             return
         attempt.ended = True
         self._do.append(Abandon(attempt))
+        outcome = Outcome.CANCELLED if attempt.written else Outcome.WITHDRAWN
         self._events.append(
-            api.AttemptEnded(
-                one.id, attempt.number, attempt.member, Outcome.CANCELLED, now_us - attempt.started_us, one.over
-            )
+            api.AttemptEnded(one.id, attempt.number, attempt.member, outcome, now_us - attempt.started_us, one.over)
         )
         self._release(one)
 
