Requests of one connection are taken side by side, answered in order, each in its own time

The issue followed such requests by connection: up to eight waited behind one that hung.

Cause: platform/clients/connection.py took one query at a time (`waits`) and counted a later one's time from the answer before it (`max(self.stream.ready_us, self.free_us)`), so one that hangs uses up the time of all behind it; the client's patience runs on.

Change: clients/pipeline.py (no I/O) keeps the commands of a connection: each is asked when it comes, its time runs from its own last byte, its answer waits for those ahead. What shares a name with an open write, or a key, is asked after it. One with others behind it is ended 50 ms early, the protocol's slack, while its client still waits. A connection has at most its part of MaxOpen open, answers that wait hold 256 KB at most, one query a turn of the loop.

Each guard taken out once was found by a test (one at a time, names, hurry, turns, last byte, held bytes, what is owed at the end).

--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -1,8 +1,8 @@
-"""One client connection: startup, one query after the other, each answered once and in order.
+"""One client connection: startup, then queries, taken side by side, each answered once and in order.
 
-A shell: what a query asks for is read by `statement`, what it is answered is told by its `Asker`, how it ends by
-`transport.ending`. A peer's mistake is answered once with an error or a close, costs nobody else anything and holds
-bounded memory.
+A shell: what a query asks for is read by `statement`; `pipeline` says in which order they are asked and answered; what
+one is answered is told by its `Asker`, how the connection ends by `transport.ending`. A peer's mistake is answered once
+with an error or a close, costs nobody else anything and holds bounded memory.
 """
 
 import asyncio
@@ -12,8 +12,9 @@
 
 from oatlink.gateway.clock import Stream, now_us
 from oatlink.platform.clients import answers
+from oatlink.platform.clients.pipeline import Arrivals, Command, Pipeline
 from oatlink.platform.requests import Final
-from oatlink.platform.statement import QUERY_BYTES
+from oatlink.platform.statement import QUERY_BYTES, Statement, StatementError
 from oatlink.protocols import pgwire as pg
 from oatlink.protocols.buffer import Limits, ProtocolError
 from oatlink.transport.closing import State
@@ -32,12 +33,24 @@
 class Asker(Protocol):
     """Where queries go."""
 
-    def ask(self, client: "Client", text: bytes, came_us: int) -> bytes | None:
-        """Take a query. None where it is open now or answered; else what was wrong with it. Raises nothing."""
+    def read(self, text: bytes) -> Statement:
+        """What a query asks for. Raises `StatementError`."""
         ...
 
-    def left(self, client: "Client") -> None:
-        """The client has gone, or has been sent away, its query still open."""
+    def ask(self, query: "Query") -> None:
+        """Take a query; it is answered once, at once or later. Raises `StatementError` where it cannot be taken."""
+        ...
+
+    def hurry(self, query: "Query") -> None:
+        """Others wait behind it now: it is answered so much earlier."""
+        ...
+
+    def left(self, query: "Query") -> None:
+        """Its client has gone, or has been sent away, and it is still open."""
+        ...
+
+    def most_of_one(self) -> int:
+        """How many queries of one connection may be open at once."""
         ...
 
 
@@ -49,6 +62,21 @@
         ...
 
 
+class Query(Command):
+    """A query of a client, from its last byte to its answer."""
+
+    __slots__ = ("client", "statement")
+
+    def __init__(self, client: "Client", statement: Statement, came_us: int) -> None:
+        names = (b"name " + statement.session.encode(), b"key " + statement.key if statement.key else b"")
+        super().__init__(came_us, tuple(filter(None, names)), statement.is_write)
+        self.client, self.statement = client, statement
+
+    def answered(self, final: Final) -> None:
+        """See `requests.Owner`."""
+        self.client.answered(self, final)
+
+
 class Client:
     """One client connection, from its accept to its end."""
 
@@ -57,8 +85,9 @@
         self.ending = Ending(stream, self._is_owed, self._closed)
         self._reader = pg.frontend_reader(LIMITS)
         self._started = False
+        self._arrivals = Arrivals()
+        self._pipeline = Pipeline(asker.most_of_one())
         self.asked = False  # a request has come
-        self.waits = False  # a query is open
         self.born_us = self.free_us = now_us()
         self._half_us = 0  # since when a message is under way
         self._unsent_us = 0  # since when an answer lies here that is not taken
@@ -66,7 +95,8 @@
         self._mistakes = 0
         self._paused = False
         self._skips = False  # after a mistake in the extended protocol, until Sync
-        self._blocked = False  # as much as may be has been read behind an open query
+        self._blocked = False  # as much as may be has been read behind what is open
+        self._is_due = False  # a step comes in the next turn of the loop
         self._room = asyncio.Event()
 
     @property
@@ -79,11 +109,16 @@
         """Whether our side has been shut down, or all that is left to send is its last answer."""
         return self.ending.discards
 
+    @property
+    def waits(self) -> bool:
+        """Whether a query is open, or an answer waits for one."""
+        return len(self._pipeline) > 0
+
     async def run(self) -> None:
         """Read until the connection ends, also what is thrown away after our side has been shut down."""
         try:
             while True:
-                # While a query is open the next bytes are read, to notice a close: one message of them at most.
+                # While no more is taken the next bytes are read, to notice a close: one message of them at most.
                 while self._reader.pending > QUERY_BYTES and self._is_busy():
                     self._blocked = True
                     self._room.clear()
@@ -94,6 +129,7 @@
                     self.ending.discard(len(data))
                 else:
                     self._reader.feed(data)
+                    self._arrivals.came(len(data), self.stream.ready_us)
                     self.step()
         except StreamClosedError:
             pass
@@ -102,21 +138,25 @@
 
     def _is_busy(self) -> bool:
         """Whether the next message has to wait."""
-        return not self.ending.discards and (self.waits or self._paused or self.stream.writing())
+        return not self.ending.discards and (
+            not self._pipeline.has_room or self._paused or self.stream.writing()
+        )
 
     def _is_owed(self) -> bool:
         """Whether something is still to be answered: a query, or one that is here in part or may be."""
-        if self.ending.discards:
-            return False
-        return self.waits or self._paused or self._reader.pending > 0 or not self.stream.at_rest()
+        if self.waits or self.ending.discards:
+            return self.waits
+        return self._paused or self._reader.pending > 0 or not self.stream.at_rest()
 
     def step(self) -> None:
-        """Take the messages that are here, up to a query that is open.
+        """Take the messages that are here, as far as there is room, up to a query; the next turn goes on behind it.
 
-        Threat: a client that takes none of its answers. Its next query waits until the last one is handed over.
+        Threat: a client that takes none of its answers. Its next query waits until the last one is handed over. And one
+        that sends hundreds at once: it takes turns with all others that ask.
         """
+        self._pipeline.most = self._asker.most_of_one()  # other settings may have come
         try:
-            while not (self._is_busy() or self.ending.discards):
+            while not (self._is_due or self._is_busy() or self.ending.discards):
                 message = self._reader.take()
                 if message is None:
                     break
@@ -140,7 +180,7 @@
                 self._query(pg.query_text(message))
         elif message.kind == b"S":
             self._skips = False
-            self.write(answers.READY)
+            self._say(answers.READY)
         elif not self._skips:
             self._skips = message.kind != b"F"
             self._mistaken(
@@ -162,20 +202,35 @@
     def _query(self, text: bytes) -> None:
         words = text.split(None, 1)
         if not words or not text.strip(b"; \t\r\n"):
-            self.write(answers.EMPTY)  # which asks nothing: a flood may say so much
+            self._say(answers.EMPTY)  # which asks nothing: a flood may say so much
         elif words[0].upper() in PLAIN:
-            self.write(pg.make_complete(words[0].upper()).encode() + answers.READY)
+            self._say(pg.make_complete(words[0].upper()).encode() + answers.READY)
         elif not self.ending.may_take:
-            self.write(answers.refusal(0))  # nothing new is taken on a connection that ends; another takes it at once
+            self._say(answers.refusal(0))  # nothing new is taken on a connection that ends; another takes it at once
         elif self.stream.closed() or (self._blocked and self.stream.peer_has_ended()):
             self.close()  # what it sent before it went must not be sent on
         else:
-            # Time runs from the last byte; behind an open query it runs from that one's answer.
-            answer = self._asker.ask(self, text, max(self.stream.ready_us, self.free_us))
-            if answer is None:
-                self.asked = True
-            else:
-                self._mistaken(answer)
+            try:
+                query = Query(self, self._asker.read(text), self._arrivals.last_us(self._reader.pending))
+            except StatementError as problem:
+                self._mistaken(answers.error(problem.sqlstate, str(problem)))
+                return
+            hurried = self._pipeline.add(query)
+            if isinstance(hurried, Query):
+                self._asker.hurry(hurried)
+            self._go_on_later()
+            self._ask(query)
+
+    def _ask(self, query: Query) -> None:
+        """Ask, where nothing of its own connection has to be answered before it."""
+        if query.ahead or self.closed:
+            return
+        try:
+            self._asker.ask(query)
+            self.asked = True
+        except StatementError as problem:
+            self._answer(query, b"")
+            self._mistaken(answers.error(problem.sqlstate, str(problem)))
 
     def _mistaken(self, answer: bytes) -> None:
         """Threat: the same again as soon as it is answered, at full speed. It waits, longer each time, then ends."""
@@ -183,7 +238,7 @@
         if self._mistakes >= MOST_MISTAKES:
             self.end(answer)
             return
-        self.write(answer)
+        self._say(answer)
         self._paused = True
         asyncio.get_running_loop().call_later(PAUSE_S * self._mistakes, self._go_on)
 
@@ -191,19 +246,46 @@
         self._paused = False
         self.step()
 
-    def answered(self, final: Final) -> None:
-        """The open query's final answer."""
+    def _go_on_later(self) -> None:
+        """What waits is seen to in a turn of its own: an answer may set off the next, and so on."""
+        if not self._is_due:
+            self._is_due = True
+            asyncio.get_running_loop().call_soon(self._due)
+
+    def _due(self) -> None:
+        self._is_due = False
+        if not self.closed:
+            self.step()
+
+    def _say(self, data: bytes) -> None:
+        """An answer of our own, behind those that are owed."""
+        self._pipeline.say(data)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Write the answers whose turn it is."""
+        data = self._pipeline.ready()
+        if data:
+            self.free_us = now_us()
+            self.write(data)
+
+    def answered(self, query: Query, final: Final) -> None:
+        """A query's final answer."""
         data = answers.FAILED
         if final.payload:
             data = final.payload + answers.READY
         elif final.refused:
             data = answers.refusal(final.retry_after_us)
-        self.waits = False
-        self.free_us = now_us()
-        self.write(data)
+        self._answer(query, data)
+
+    def _answer(self, query: Query, data: bytes) -> None:
+        released = self._pipeline.answer(query, data)
+        self._flush()
+        for one in released:
+            if isinstance(one, Query):
+                self._ask(one)
         if not self.closed:
-            # What waits behind is seen to in a turn of its own: an answer may set off the next, and so on.
-            asyncio.get_running_loop().call_soon(self.step)
+            self._go_on_later()
 
     def write(self, data: bytes) -> None:
         """Write; a client that takes nothing is let go."""
@@ -231,7 +313,7 @@
         if self.ending.discards:
             return
         if data:
-            self.write(data)
+            self._say(data)
         self.ending.drain(is_deaf=True)
         self._room.set()
 
@@ -246,9 +328,9 @@
 
     def _closed(self) -> None:
         self._room.set()
-        if self.waits:
-            self.waits = False
-            self._asker.left(self)
+        for one in self._pipeline.clear():
+            if isinstance(one, Query):
+                self._asker.left(one)
         self._home.gone(self)
 
     def idle_since_us(self) -> int | None:
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -19,13 +19,13 @@
 from oatlink.platform import discovery as disco
 from oatlink.platform import requests as req
 from oatlink.platform import signals
-from oatlink.platform.clients import Client, Clients, error, refusal
+from oatlink.platform.clients import Clients, Query
 from oatlink.platform.config import Config, ConfigError, read
 from oatlink.platform.discovery import Discovery, News
 from oatlink.platform.jobs import Checking, Sent
 from oatlink.platform.reply import Answer, load_report
 from oatlink.platform.servers import Bounds, Servers
-from oatlink.platform.statement import StatementError, parse
+from oatlink.platform.statement import Statement, StatementError, parse
 from oatlink.rules import Router
 
 LOG = logging.getLogger("oatlink.platform")
@@ -53,7 +53,7 @@
         self._numbers = req.Numbers()
         self._groups: set[int] = set()
         self._entries: dict[int, api.RosterEntry] = {}
-        self._asking: dict[Client, req.Open] = {}
+        self._asking: dict[Query, req.Open] = {}
         self._sending: dict[int, Sent] = {}
         self._checks: dict[int, Checking] = {}
         self._due_at_us: int | None = None
@@ -62,7 +62,8 @@
         spare = config.limits.sockets - RESERVE
         most_servers = round(spare * SERVERS_PART)
         self._servers = Servers(Bounds(config.dial_s, config.idle_s, most_servers), self._marks, self.note, self._keep)
-        self._clients = Clients(sock, spare - most_servers, self, self._marks, self._keep, self.note)
+        self._most_clients = spare - most_servers
+        self._clients = Clients(sock, self._most_clients, self, self._marks, self._keep, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._told, self.note)
         self._ended = asyncio.Event()
         self._reloading: asyncio.Task[None] | None = None
@@ -267,35 +268,45 @@
 
     # ---- Clients ----
 
-    def ask(self, client: Client, text: bytes, came_us: int) -> bytes | None:
+    def read(self, text: bytes) -> Statement:
         """See `Asker`."""
-        try:
-            statement = parse(text, self._classes, self._groups)
-        except StatementError as problem:
-            return error(problem.sqlstate, str(problem))
+        return parse(text, self._classes, self._groups)
+
+    def ask(self, query: Query) -> None:
+        """See `Asker`."""
+        statement = query.statement
         if self._requests.is_open(statement.id):
-            return error("42710", "id: a request by this id is open")
+            raise StatementError("42710", "id: a request by this id is open")
         if len(self._requests) >= self._config.settings.max_open:
-            client.write(refusal(0))  # no mistake of the client's: its connection goes on as it was
-            return None
+            query.answered(req.Final(refused=True))  # no mistake of the client's: its connection goes on as it was
+            return
         at_us = now_us()
-        left_us = statement.wait_ms * 1000 - max(0, at_us - came_us)
+        left_us = statement.wait_ms * 1000 - max(0, at_us - query.came_us) - query.early_us
         since_us = None
         if statement.after_ms:
             since_us = max(0, at_us - self._on_clock(statement.after_ms * 1000))
-        client.waits = True
-        one, done = self._requests.arrived(statement, client, left_us, at_us, since_us)
+        one, done = self._requests.arrived(statement, query, left_us, at_us, since_us)
         if not one.over:
-            self._asking[client] = one
+            self._asking[query] = one
         self._do(done)
-        return None
 
-    def left(self, client: Client) -> None:
+    def hurry(self, query: Query) -> None:
         """See `Asker`."""
-        one = self._asking.pop(client, None)
+        one = self._asking.get(query)
+        if one is not None:
+            self._requests.hurry(one, query.early_us)
+            self._set_deadline()
+
+    def left(self, query: Query) -> None:
+        """See `Asker`."""
+        one = self._asking.pop(query, None)
         if one is not None:
             self._do(self._requests.departed(one, now_us()))
 
+    def most_of_one(self) -> int:
+        """See `Asker`: all connections together stay within what may be open here."""
+        return max(1, self._config.settings.max_open // self._most_clients)
+
     # ---- Servers ----
 
     def may_write(self, attempt: req.Attempt) -> bool:
@@ -358,7 +369,7 @@
                     self._sending[id(one.attempt)] = sent
                     pool.launch(sent)
             case req.Tell():
-                assert isinstance(one.owner, Client)
+                assert isinstance(one.owner, Query)
                 self._asking.pop(one.owner, None)
                 one.owner.answered(one.final)
             case req.Abandon():
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -153,6 +153,12 @@
         )
         return one, self.handle(event, now_us)
 
+    def hurry(self, one: Open, by_us: int) -> None:
+        """Its answer is due so much earlier. What is sent from now on is told so; the Router goes by its own time."""
+        if not one.over:
+            one.expires_us -= by_us
+            heapq.heappush(self._ends, (one.expires_us, one.id))
+
     def departed(self, one: Open, now_us: int) -> list[Do]:
         """The client has left. What is written goes on to its end, as the Router takes it to; the rest is undone."""
         if one.over:
--- a/oatlink/platform/statement.py
+++ b/oatlink/platform/statement.py
@@ -44,9 +44,15 @@
     group: int
     session: str
     after_ms: int | None
+    key: bytes  # of idempotency; empty where none is said
     _before: bytes
     _behind: bytes
 
+    @property
+    def is_write(self) -> bool:
+        """Whether it writes what it names."""
+        return self.rule.freshness is Freshness.WRITE
+
     def waiting(self, wait_ms: int) -> bytes:
         """The statement for a server: it is told how long this gateway will wait."""
         return b"%s%d%s" % (self._before, wait_ms, self._behind)
@@ -93,6 +99,7 @@
         group=group,
         session=(written or read).decode("utf-8", "replace"),
         after_ms=_number(said, b"after") if b"after" in said else None,
+        key=said.get(b"k", b""),
         _before=text[: place.start(2)],
         _behind=text[place.end(2) :],
     )
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 from oatlink.gateway.clock import Marks
-from oatlink.platform.clients import Client, Clients
+from oatlink.interface import Effect, Freshness, RequestClass
+from oatlink.platform.clients import Client, Clients, Query
 from oatlink.platform.requests import Final
+from oatlink.platform.statement import Statement
 from oatlink.protocols import pgwire as pg
 
 PATIENCE_S = 20.0
@@ -27,29 +29,50 @@
     return Final(row + pg.make_complete(b"SELECT 1").encode())
 
 
+RULE = RequestClass("view", Freshness.ANY, Effect.IDEMPOTENT, 200_000, 400_000, 1.0)
+WRITE = RequestClass("post", Freshness.WRITE, Effect.KEYED, 400_000, 800_000, 3.0)
+
+
 class Asker:
-    """Holds what is asked until the test answers it, or answers each at once."""
+    """Holds what is asked until the test answers it, or answers each at once.
+
+    A text is an id, a name with `!` if it writes, and `#` with a key: `a!#k`.
+    """
 
     def __init__(self) -> None:
         self.texts: list[bytes] = []
-        self.open: dict[Client, bytes] = {}
-        self.gone: list[bytes] = []  # clients that left their query open
+        self.open: dict[Query, bytes] = {}
+        self.gone: list[bytes] = []  # of clients that left their query open
+        self.hurried: list[bytes] = []
         self.at_once = False
         self.size = 0  # of the answers' contents
+        self.most = 1  # open at once of one connection
 
-    def ask(self, client: Client, text: bytes, came_us: int) -> bytes | None:
-        self.texts.append(text)
-        client.waits = True
-        self.open[client] = text
+    def most_of_one(self) -> int:
+        return self.most
+
+    def read(self, text: bytes) -> Statement:
+        name, _, key = text.partition(b"#")
+        rule = WRITE if b"!" in text else RULE
+        return Statement(text, rule, 400, 0, name.rstrip(b"!").decode(), None, key, b"", b"")
+
+    def ask(self, query: Query) -> None:
+        self.texts.append(query.statement.id)
+        self.open[query] = query.statement.id
         if self.at_once:
-            self.answer(client)
-        return None
+            self.answer(query)
+
+    def hurry(self, query: Query) -> None:
+        self.hurried.append(query.statement.id)
 
-    def left(self, client: Client) -> None:
-        self.gone.append(self.open.pop(client))
+    def left(self, query: Query) -> None:
+        if query in self.open:
+            self.gone.append(self.open.pop(query))
 
-    def answer(self, client: Client) -> None:
-        client.answered(served(self.open.pop(client), self.size))
+    def answer(self, one: Client | Query | bytes) -> None:
+        """A query, the one of this text, or a client's first."""
+        query = next(open for open, text in self.open.items() if one in (open, text, open.client))
+        query.answered(served(self.open.pop(query), self.size))
 
 
 class Peer:
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -14,6 +14,7 @@
 from oatlink.interface import Outcome, Report, Role, RosterKind
 from oatlink.platform import config, discovery
 from oatlink.platform import requests as req
+from oatlink.platform.clients.pipeline import SLACK_US
 from oatlink.platform.reply import Answer, ReplyReader, SpoiltError, load_report
 from oatlink.platform.statement import Statement, StatementError, parse
 from oatlink.protocols import pgwire as pg
@@ -266,7 +267,7 @@
     def step(self, number: int) -> None:
         self.now += self.draw.randrange(30_000)
         self.do(self.book.expire(self.now))
-        match self.draw.randrange(6):
+        match self.draw.randrange(7):
             case 0 | 1:
                 self.ask(self.draw.choice([READ, WRITE]), number)
             case 2 | 3 if self.out:
@@ -288,6 +289,8 @@
                 role = Role.PRIMARY if numbered == 1 else Role.REPLICA
                 event = api.Checked(numbered, Outcome.SERVED, 2_000, Report(self.now, role))
                 self.do(self.book.handle(event, self.now))
+            case 6 if self.open:
+                self.book.hurry(self.draw.choice(self.open), SLACK_US)
             case 5 if self.open:
                 gone = self.draw.choice(self.open)
                 self.do(self.book.departed(gone, self.now))
