--- a/oatlink/fleet/messages/control.py
+++ b/oatlink/fleet/messages/control.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from oatlink.fleet.messages.base import Message
+from oatlink.fleet.messages.effects import Effect
 
 MOST_ENTRY_KEY = 128  # bytes
 MOST_ENTRY = 4_096  # bytes of an entry's value
@@ -171,3 +172,21 @@
 
 
 AnyControl = Join | Seat | Refused | Leave | Subscribe | Changes | Page | Beat | Report | Committed
+
+
+# ---- What the cores ask of their shell, beside `Tell`, `Note`, `Read`, `Change` and `Replied` ----
+
+
+class Known(Effect, frozen=True, gc=False):
+    """Where a peer listens, before something is told to it; `forget` where nothing more will be."""
+
+    place: Place
+    forget: bool = False
+
+
+class InForce(Effect, frozen=True, gc=False):
+    """A scope has come to this version here. `entries`: what changed, all of it where `whole`."""
+
+    head: Head
+    entries: tuple[Entry, ...]
+    whole: bool = False
