Answers that waited for one ahead are written in pieces; their memory is shared out beforehand

Also found by reading what `waits` meant before: a connection with an open query and room for more counted as idle, and one that takes nothing was not let go while answers waited; many clients with 59 long answers each were unbounded together.

Change: 64 KB at a time, the next when handed over; each place behind another is taken from an eighth of the memory at the longest answer (Room); idle only with nothing open.

--- a/oatlink/platform/clients/__init__.py
+++ b/oatlink/platform/clients/__init__.py
@@ -2,5 +2,6 @@
 
 from oatlink.platform.clients.connection import Asker, Client, Query
 from oatlink.platform.clients.listener import Clients
+from oatlink.platform.clients.pipeline import Room
 
-__all__ = ["Asker", "Client", "Clients", "Query"]
+__all__ = ["Asker", "Client", "Clients", "Query", "Room"]
--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -12,7 +12,7 @@
 
 from oatlink.gateway.clock import Stream, now_us
 from oatlink.platform.clients import answers
-from oatlink.platform.clients.pipeline import Arrivals, Command, Pipeline
+from oatlink.platform.clients.pipeline import Arrivals, Command, Pipeline, Room
 from oatlink.platform.requests import Final
 from oatlink.platform.statement import QUERY_BYTES, Statement, StatementError
 from oatlink.protocols import pgwire as pg
@@ -49,8 +49,9 @@
         """Its client has gone, or has been sent away, and it is still open."""
         ...
 
-    def most_of_one(self) -> int:
-        """How many queries of one connection may be open at once."""
+    @property
+    def room(self) -> Room:
+        """What connections may have open."""
         ...
 
 
@@ -86,7 +87,7 @@
         self._reader = pg.frontend_reader(LIMITS)
         self._started = False
         self._arrivals = Arrivals()
-        self._pipeline = Pipeline(asker.most_of_one())
+        self._pipeline = Pipeline(asker.room)
         self.asked = False  # a request has come
         self.born_us = self.free_us = now_us()
         self._half_us = 0  # since when a message is under way
@@ -111,7 +112,7 @@
 
     @property
     def waits(self) -> bool:
-        """Whether a query is open, or an answer waits for one."""
+        """Whether a query is open, or an answer is not written yet."""
         return len(self._pipeline) > 0
 
     async def run(self) -> None:
@@ -154,7 +155,6 @@
         Threat: a client that takes none of its answers. Its next query waits until the last one is handed over. And one
         that sends hundreds at once: it takes turns with all others that ask.
         """
-        self._pipeline.most = self._asker.most_of_one()  # other settings may have come
         try:
             while not (self._is_due or self._is_busy() or self.ending.discards):
                 message = self._reader.take()
@@ -263,9 +263,11 @@
         self._flush()
 
     def _flush(self) -> None:
-        """Write the answers whose turn it is."""
-        data = self._pipeline.ready()
-        if data:
+        """Write the answers whose turn it is.
+
+        Threat: more of them at once than the stream holds for a client. What is left goes when those are handed over.
+        """
+        while not self.stream.writing() and (data := self._pipeline.ready()):
             self.free_us = now_us()
             self.write(data)
 
@@ -306,6 +308,7 @@
             self.close()
         elif not self.stream.writing():
             self._unsent_us = 0
+            self._flush()
             self.step()
 
     def end(self, data: bytes) -> None:
@@ -335,7 +338,9 @@
 
     def idle_since_us(self) -> int | None:
         """Since when nothing is open here and nothing under way; None while something is, or the connection ends."""
-        if not self.ending.may_take or self._reader.pending or self._is_busy() or not self.stream.at_rest():
+        if self.waits or not self.ending.may_take or self._reader.pending or self._is_busy():
+            return None
+        if not self.stream.at_rest():
             return None
         return self.free_us
 
@@ -345,7 +350,7 @@
         Threat: a client that has gone is not noticed while more than is read lies before its end; one that takes
         nothing holds its answer in memory; one that asks without a pause would never let a gateway end.
         """
-        if self.waits or self._paused:
+        if self._pipeline.open or self._paused:
             if self._blocked and self.stream.peer_has_ended():
                 self.close()
         elif self._unsent_us and at_us - self._unsent_us > HALF_US:
--- a/oatlink/platform/clients/pipeline.py
+++ b/oatlink/platform/clients/pipeline.py
@@ -14,9 +14,28 @@
 
 SLACK_US = 50_000  # between a client's clock and ours: the protocol extends every time limit by as much
 HELD_BYTES = 262_144  # of answers that wait for those ahead: nothing more is taken until they go
+WRITTEN_BYTES = 65_536  # of answers written at once, where one alone is not longer
 MOST_MARKS = 64  # times of arrival kept; beyond, later bytes count as come with the last ones
 
 
+@dataclass(slots=True)
+class Room:
+    """What the connections of a gateway may have open: `each` of them, and all of them beside one each.
+
+    Threat: a hundred clients that each ask for as many of the longest answers as they may behind one that hangs. Each
+    such answer needs memory until its turn comes, so its place is taken when it is asked for.
+    """
+
+    each: int
+    behind: int
+    taken: int = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no connection may have another one open behind others."""
+        return self.taken >= self.behind
+
+
 class Arrivals:
     """When the bytes of a stream came, so that each command is timed by its own last byte."""
 
@@ -84,13 +103,13 @@
 class Pipeline:
     """What one connection has asked and not been answered, in order."""
 
-    def __init__(self, most: int) -> None:
-        """`most`: commands that may be here at once."""
-        self.most = most
+    def __init__(self, room: Room) -> None:
+        self._room = room
         self.open: dict[Command, None] = {}  # without an answer
         self._line: deque[Command] = deque()
         self._names: dict[bytes, _Name] = {}
         self._held = 0
+        self._behind = 0  # places taken in the room
 
     def __len__(self) -> int:
         return len(self._line)
@@ -98,13 +117,15 @@
     @property
     def has_room(self) -> bool:
         """Whether another command may be taken."""
-        return not self._line or (len(self._line) < self.most and self._held < HELD_BYTES)
+        room = self._room
+        return not self._line or (len(self._line) < room.each and self._held < HELD_BYTES and not room.is_full)
 
     def add(self, one: Command) -> Command | None:
         """Take a command; it may be asked where none is `ahead`. The one before it, if that has to hurry now."""
         last = self._line[-1] if self._line else None
         self._line.append(one)
         self.open[one] = None
+        self._settle()
         for name in one.names:
             for other in self._names.setdefault(name, _Name()).join(one):
                 other.behind.append(one)
@@ -137,12 +158,15 @@
         return [other for other in one.behind if not other.ahead]
 
     def ready(self) -> bytes:
-        """The answers that may be written now; they are let go."""
+        """Answers that may be written now, so many bytes of them; they are let go."""
         data = b""
         while self._line and (answer := self._line[0].answer) is not None:
+            if data and len(data) + len(answer) > WRITTEN_BYTES:
+                break
             self._line.popleft()
             data += answer
         self._held -= len(data)
+        self._settle()
         return data
 
     def clear(self) -> list[Command]:
@@ -152,4 +176,11 @@
         self._line.clear()
         self._names.clear()
         self._held = 0
+        self._settle()
         return left
+
+    def _settle(self) -> None:
+        """All but the first take a place in the room that connections share."""
+        behind = max(0, len(self._line) - 1)
+        self._room.taken += behind - self._behind
+        self._behind = behind
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -19,13 +19,13 @@
 from oatlink.platform import discovery as disco
 from oatlink.platform import requests as req
 from oatlink.platform import signals
-from oatlink.platform.clients import Clients, Query
+from oatlink.platform.clients import Clients, Query, Room
 from oatlink.platform.config import Config, ConfigError, read
 from oatlink.platform.discovery import Discovery, News
 from oatlink.platform.jobs import Checking, Sent
 from oatlink.platform.reply import Answer, load_report
 from oatlink.platform.servers import Bounds, Servers
-from oatlink.platform.statement import Statement, StatementError, parse
+from oatlink.platform.statement import VALUE_BYTES, Statement, StatementError, parse
 from oatlink.rules import Router
 
 LOG = logging.getLogger("oatlink.platform")
@@ -33,6 +33,7 @@
 STATE_S = 10  # between lines that say what this gateway holds and believes
 RESERVE = 24  # descriptors for the log, the loop, the listener, signals and discovery's calls
 SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
+ANSWERS_PART = 0.125  # of the memory: for answers that wait for those ahead on their connections
 GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
 RELOAD_S = (0.1, 0.3, 1.0, 3.0)  # a file that cannot be read is looked at again
 
@@ -63,6 +64,8 @@
         most_servers = round(spare * SERVERS_PART)
         self._servers = Servers(Bounds(config.dial_s, config.idle_s, most_servers), self._marks, self.note, self._keep)
         self._most_clients = spare - most_servers
+        self.room = Room(0, 0)
+        self._divide()
         self._clients = Clients(sock, self._most_clients, self, self._marks, self._keep, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._told, self.note)
         self._ended = asyncio.Event()
@@ -201,11 +204,18 @@
         self._config = replace(config, name=was.name, listen=was.listen, limits=was.limits)
         self._router.configure(config.settings)
         self._classes = {rule.name: rule for rule in config.settings.classes}
+        self._divide()
         self._servers.bounds = replace(self._servers.bounds, dial_s=config.dial_s, idle_s=config.idle_s)
         self._discovery.wait(config.watch_s)
         if config.discovery != self._discovery.address:
             self._discovery.move(config.discovery)
 
+    def _divide(self) -> None:
+        """What each connection may have open: its part of what the gateway may, and memory for the longest answers."""
+        most, memory = self._config.settings.max_open, self._config.limits.memory_mb * 1024 * 1024 * ANSWERS_PART
+        self.room.each = max(1, most // self._most_clients)
+        self.room.behind = round(memory / VALUE_BYTES) if memory else most
+
     # ---- Clock ----
 
     def _on_clock(self, unix_us: float) -> int:
@@ -303,10 +313,6 @@
         if one is not None:
             self._do(self._requests.departed(one, now_us()))
 
-    def most_of_one(self) -> int:
-        """See `Asker`: all connections together stay within what may be open here."""
-        return max(1, self._config.settings.max_open // self._most_clients)
-
     # ---- Servers ----
 
     def may_write(self, attempt: req.Attempt) -> bool:
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -9,7 +9,7 @@
 
 from oatlink.gateway.clock import Marks
 from oatlink.interface import Effect, Freshness, RequestClass
-from oatlink.platform.clients import Client, Clients, Query
+from oatlink.platform.clients import Client, Clients, Query, Room
 from oatlink.platform.requests import Final
 from oatlink.platform.statement import Statement
 from oatlink.protocols import pgwire as pg
@@ -46,10 +46,7 @@
         self.hurried: list[bytes] = []
         self.at_once = False
         self.size = 0  # of the answers' contents
-        self.most = 1  # open at once of one connection
-
-    def most_of_one(self) -> int:
-        return self.most
+        self.room = Room(1, 1 << 20)  # one open at once of a connection
 
     def read(self, text: bytes) -> Statement:
         name, _, key = text.partition(b"#")
