A RESP command's time runs from its own last byte, also behind a full pipeline

Cause: what lay read behind as many commands as may be open had its time counted anew from the moment at which there was room, so a silent box cost each further lot one more deadline.

Change: the reader tells the engine how long a command lay behind its client's own earlier ones (Asked.own_us). The client's time counts it; lateness of the process and admission do not, so a long pipeline is still not refused for its length. What is past its time before it is sent is refused unsent.

--- a/oatlink/core/clients.py
+++ b/oatlink/core/clients.py
@@ -71,6 +71,7 @@
             return
         self._late_us, self._behind = given.late_us, given.behind
         self._waited_us = max(given.late_us, given.waited_us)
+        self._own_us = given.own_us
         args = given.args
         if session.admin:
             self._administer(session, args)
--- a/oatlink/core/engine.py
+++ b/oatlink/core/engine.py
@@ -48,7 +48,7 @@
         """Take one input and return the effects it calls for, in order. Time must not run backwards."""
         self._now = max(self._now, now_us)
         self._out, self.fresh = [], False
-        self._late_us = self._waited_us = 0
+        self._late_us = self._waited_us = self._own_us = 0
         self._more = False
         self._handlers[type(given)](given)
         self._due()
--- a/oatlink/core/messages.py
+++ b/oatlink/core/messages.py
@@ -69,7 +69,8 @@
     """A client has sent a command, which then waited for this process for `late_us`, at most.
 
     `behind`: how many other clients whose commands have come still wait for it. `waited_us`: how long ago it came, at
-    most; that is longer where the client came before it should have and was not read.
+    most; that is longer where the client came before it should have and was not read. `own_us`: how long it lay here
+    before that behind its client's own earlier commands, as many as may be open: no lateness, but the client's time.
     """
 
     client: int
@@ -77,6 +78,7 @@
     late_us: int = 0
     behind: int = 0
     waited_us: int = 0
+    own_us: int = 0
 
 
 class Broken(Input, frozen=True, gc=False):
--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -90,7 +90,7 @@
         attempt, ask.attempts = ask.attempts, ask.attempts + 1
         address = self._hand(state)
         ask.open[attempt] = (action.member, name, self._now, address)
-        until_us = ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US
+        until_us = self._due_of(ask)
         if attempt == 0:
             ask.first_us = self._now
         elif not ask.may_have_run:
@@ -362,7 +362,7 @@
             writes,
             payload,
             replies,
-            self._now - self._waited_us,  # the client's time runs since its command was there
+            self._now - self._waited_us - self._own_us,  # the client's time runs since its command was there
             session.protocol,
         )
 
@@ -371,7 +371,7 @@
         self._asks[ask.id] = session.asks[ask.id] = ask
         if ask.version:
             self._busy[ask.version] = self._busy.get(ask.version, 0) + 1
-        heapq.heappush(self._ends, (ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US, ask.id))
+        heapq.heappush(self._ends, (self._due_of(ask), ask.id))
         free = session.may_start(ask)
         session.enter(ask)
         if not free:
@@ -379,10 +379,17 @@
         elif ask.gated is None:
             self._start(session, ask)
 
+    @staticmethod
+    def _due_of(ask: Ask) -> int:
+        """The last moment for a request's final answer."""
+        return ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US
+
     def _start(self, session: Session, ask: Ask) -> None:
         """Hand a request to the Router."""
-        ask.started = True
         rule = ask.rule
+        if self._now >= self._due_of(ask):
+            return  # Threat: a box that is sent what nobody waits for, and blamed for it. Its end is in this turn.
+        ask.started = True
         if ask.lease and session.lease_lost:
             if ask.executes or ask.watches:
                 self._end_unwatched(ask)
--- a/oatlink/core/shared.py
+++ b/oatlink/core/shared.py
@@ -91,6 +91,7 @@
         self._out: list[m.AnyEffect] = []
         self._late_us = 0  # how long the input has lain in this process
         self._waited_us = 0  # how long ago it came
+        self._own_us = 0  # and before that, behind its client's own earlier commands
         self._behind = 0  # clients that wait for this process
         self._more = False  # inputs of the same read follow: what is held is placed after the last of them
         self._code = ""  # the form of the program, as `Started` said
--- a/oatlink/gateway/reading.py
+++ b/oatlink/gateway/reading.py
@@ -29,20 +29,21 @@
         if client.is_deaf:
             client.ending.discard(len(data))
             return
-        came_us = stream.since_us
+        came_us = turn_us = stream.since_us
         if not resumed_us:
             # Threat: the stream reads ahead. What came while its client's earlier commands were seen to
             # waited for those, as the rest of a full pipeline does.
-            came_us = max(came_us, ready_us)
+            turn_us = max(came_us, ready_us)
         elif resumed_us <= came_us < resumed_us + 1_000:
-            came_us = client.refused_us  # it lay unread; since when is not known
+            came_us = turn_us = client.refused_us  # it lay unread; since when is not known
         await shell.marks.let_in()
         reader.feed(data)
         while True:
             # Threat: a pipeline that is refused for its own length. A command waits for its client's earlier
-            # ones by its client's wish; this process is late only with the first of them.
+            # ones by its client's wish; this process is late only with the first of them. Its client's time
+            # runs all the same: what is behind hung ones would else have it anew after each of their ends.
             now = now_us()
-            late_us, waited_us = max(0, now - max(came_us, resumed_us)), max(0, now - came_us)
+            late_us, waited_us = max(0, now - max(turn_us, resumed_us)), max(0, now - turn_us)
             taken, full = 0, True
             with shell.turn():
                 # Threat: what lies here behind a last answer, or of a client that has gone, is done for nobody.
@@ -53,7 +54,8 @@
                         break
                     client.unanswered += 1
                     taken += 1
-                    shell.feed(m.Asked(client.number, args, late_us, shell.marks.waiting, waited_us))
+                    waiting = shell.marks.waiting
+                    shell.feed(m.Asked(client.number, args, late_us, waiting, waited_us, turn_us - came_us))
             if client.is_over:
                 break
             if client.unsent > most_unsent and client.written is not None:
@@ -67,7 +69,7 @@
                 client.lacks_room = True
                 await client.wait()
                 client.lacks_room = False
-            came_us = now_us()  # the rest waited for its own earlier commands, not for this process
+            turn_us = now_us()  # the rest waited for its own earlier commands, not for this process
             if taken == COMMANDS_A_TURN:
                 await shell.marks.let_in(again=True)  # what is answered here at once never fills the pipeline
 
