A RESP command that has more time gives way to the answers behind it

Cause: answers leave in order, and each command ran to its own class's deadline, so a write that hung for three seconds kept reads of two seconds, served at once by other boxes, from a client that had given up.

Change: a command that starts moves the last moment of its client's earlier ones to its own. What gives way is failed, or refused where nothing of it was sent; its attempt goes on to its own end, and its box is not blamed for it before. A command that waits for its client's own write hurries nobody: nothing would be served by it, and test_a_waiting_command_past_its_time_is_refused_for_it_never_ran stands as it is. Its refusal still leaves behind that write's answer.

Four of the new tests fail where nobody is hurried, three where giving way ends the attempt too, one where a read passes its own write.

--- a/oatlink/core/requests.py
+++ b/oatlink/core/requests.py
@@ -90,7 +90,7 @@
         attempt, ask.attempts = ask.attempts, ask.attempts + 1
         address = self._hand(state)
         ask.open[attempt] = (action.member, name, self._now, address)
-        until_us = self._due_of(ask)
+        until_us = ask.due_us
         if attempt == 0:
             ask.first_us = self._now
         elif not ask.may_have_run:
@@ -147,6 +147,10 @@
         if ask is None:
             return
         answered = ask.place.answer is not None
+        if self._now < ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US:
+            if not answered:
+                self._give_way(ask)
+            return
         if not ask.started and not answered:
             # It waited behind the same client's earlier commands; nothing was ever sent.
             self._refuse(ask, 0)
@@ -322,6 +326,7 @@
         self.counts["shed"] += 1
         self._out.append(m.Counted(rule.name, "shed", self._late_us))
         self._say(session, refusal(back_us))
+        self._hurry(session, self._now - self._waited_us - self._own_us + rule.deadline_ms * 1_000 - SLACK_US)
         # Threat: a command that came before its time and lies unread is still owed an answer within its own.
         # Threat: a connection shared by many, refused once: what comes in the pause is too late by it, and so on.
         if not past(self._waited_us, rule):
@@ -352,6 +357,7 @@
         session.places.append(place)
         group = self._classifier.group_of(slots) if slots else 0
         assert group is not None
+        came_us = self._now - self._waited_us - self._own_us  # the client's time runs since its command was there
         return Ask(
             self._last_request,
             session.client,
@@ -362,7 +368,8 @@
             writes,
             payload,
             replies,
-            self._now - self._waited_us - self._own_us,  # the client's time runs since its command was there
+            came_us,
+            came_us + rule.deadline_ms * 1_000 - SLACK_US,
             session.protocol,
         )
 
@@ -371,7 +378,7 @@
         self._asks[ask.id] = session.asks[ask.id] = ask
         if ask.version:
             self._busy[ask.version] = self._busy.get(ask.version, 0) + 1
-        heapq.heappush(self._ends, (self._due_of(ask), ask.id))
+        heapq.heappush(self._ends, (ask.due_us, ask.id))
         free = session.may_start(ask)
         session.enter(ask)
         if not free:
@@ -379,17 +386,36 @@
         elif ask.gated is None:
             self._start(session, ask)
 
-    @staticmethod
-    def _due_of(ask: Ask) -> int:
-        """The last moment for a request's final answer."""
-        return ask.arrived_us + ask.rule.deadline_ms * 1_000 - SLACK_US
+    def _hurry(self, session: Session, due_us: int, behind: Ask | None = None) -> None:
+        """An answer that has until then stands behind others of its client's: none of them may hold it up longer.
+
+        Threat: answers leave in order, so a write that may be held for its five seconds keeps the read behind it from a
+        client that gives up after two. What still waits for its client's own write hurries nobody: nothing would be
+        served by it.
+        """
+        for ask in session.asks.values():
+            if ask is behind:
+                break
+            if ask.due_us > due_us:
+                ask.due_us = due_us
+                heapq.heappush(self._ends, (due_us, ask.id))
+
+    def _give_way(self, ask: Ask) -> None:
+        """The final answer before a request's own time is up; what is out goes on, and its box is not blamed."""
+        if ask.started:
+            self._route(api.Departure(str(ask.id)))
+        if ask.open or ask.may_have_run:
+            self._fail(ask)
+        else:
+            self._refuse(ask, 0)
 
     def _start(self, session: Session, ask: Ask) -> None:
         """Hand a request to the Router."""
         rule = ask.rule
-        if self._now >= self._due_of(ask):
+        if self._now >= ask.due_us:
             return  # Threat: a box that is sent what nobody waits for, and blamed for it. Its end is in this turn.
         ask.started = True
+        self._hurry(session, ask.due_us, ask)
         if ask.lease and session.lease_lost:
             if ask.executes or ask.watches:
                 self._end_unwatched(ask)
@@ -402,6 +428,6 @@
                 self._sample(primary)
             self._refresh(ask.group)
         name = session.name if self.settings.sessions == "client-name" and session.name else f"#{session.client}"
-        left = ask.arrived_us + rule.deadline_ms * 1_000 - self._now
+        left = ask.due_us + SLACK_US - self._now
         needs_us = self._step_us(ask) if ask.version else None
         self._route(api.Arrival(str(ask.id), rule.name, ask.group, left, f"{name}@{ask.group}", needs_us=needs_us))
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -36,6 +36,7 @@
     payload: bytes
     replies: int
     arrived_us: int
+    due_us: int  # the last moment for its final answer; earlier than its own time where one behind it has less
     protocol: int
     transaction: bool = False
     executes: bool = False  # EXEC
