--- a/oatlink/core/clients.py
+++ b/oatlink/core/clients.py
@@ -71,7 +71,10 @@
             return
         self._late_us, self._behind = given.late_us, given.behind
         self._waited_us = max(given.late_us, given.waited_us)
-        self._own_us = given.own_us
+        # Threat: a long pipeline that is served as fast as it can be, refused for its own length. What lay behind its
+        # client's own commands loses that time only where one of them hung meanwhile.
+        has_hung = session.hung_us >= self._now - self._waited_us - given.own_us
+        self._own_us = given.own_us if has_hung else 0
         args = given.args
         if session.admin:
             self._administer(session, args)
--- a/oatlink/core/sessions.py
+++ b/oatlink/core/sessions.py
@@ -36,7 +36,6 @@
     payload: bytes
     replies: int
     arrived_us: int
-    due_us: int  # the last moment for its final answer; earlier than its own time where one behind it has less
     protocol: int
     transaction: bool = False
     executes: bool = False  # EXEC
@@ -78,6 +77,7 @@
     lease_lost: bool = False
     answered: int = 0
     closing: bool = False
+    hung_us: int = -1  # when a command last ended unserved past its aim
     shed: int = 0  # times refused for the gateway's own load, one after the other
     admin: bool = False
     recording: deque[Place] = field(default_factory=deque)  # asked of the recorder, not yet answered
