An attempt is not written for a client whose end lies unread; pauses end with a move

Cause: whether a client is there was known by what had been read of its connection. And the pauses between calls that an old discovery's silence had grown held for the new one after SIGHUP (gateway.py: _apply): up to 1.8 + 2.25 s until its second call.

Change: the socket is asked at the write; who has gone is closed there. A move begins with short pauses. The look at who waits walks over a copy, as the question may end others that wait.

--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -204,6 +204,9 @@
         self._discovery.wait(config.watch_s)
         if config.discovery != self._discovery.address:
             self._discovery.move(config.discovery)
+            # Threat: the pauses that the old one's silence has grown hold for the new one. As if it had told nothing
+            # new: the call that is under way there ends in news or in a first failure.
+            self._do(self._requests.handle(api.Roster(RosterKind.CHANGES), now_us()))
 
     # ---- Clock ----
 
@@ -299,8 +302,18 @@
     # ---- Servers ----
 
     def may_write(self, attempt: req.Attempt) -> bool:
-        """Whether an attempt may be written at this moment."""
-        return self._requests.may_write(attempt, now_us())
+        """Whether an attempt may be written at this moment.
+
+        Threat: a client that has gone unseen, its end behind bytes that nobody has read, or in the very turn of the
+        loop that sets the attempt off, after a standstill of this process. The socket knows.
+        """
+        if not self._requests.may_write(attempt, now_us()):
+            return False
+        owner = attempt.open.owner
+        if isinstance(owner, Client) and owner.stream.peer_has_ended():
+            owner.close()
+            return False
+        return True
 
     def attempt_ended(self, sent: Sent, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
         """An attempt's end, with the position and role that came with it."""
--- a/oatlink/platform/servers/pool.py
+++ b/oatlink/platform/servers/pool.py
@@ -105,8 +105,9 @@
 
     def review(self) -> None:
         """The list has said something of the server: whoever waits and may not be written there any more is told."""
-        for job in [one for one in self.waiting if not one.may_write()]:
-            self._withdraw(job)
+        for job in list(self.waiting):  # the question may end others that wait: those of a client that has gone
+            if not job.may_write():
+                self._withdraw(job)
 
     def leave(self) -> None:
         """The server has left, or is elsewhere: what is out ends in its own time, what waits is told at once."""
--- a/tests/test_terms_discovery.py
+++ b/tests/test_terms_discovery.py
@@ -79,7 +79,9 @@
     return config.read({"GW_CONFIG": str(path)})
 
 
-@pytest.mark.parametrize("ends", [["silent"], ["refused"], ["busy"], ["empty", "silent"], ["silent", "refused", "busy"]])
+@pytest.mark.parametrize(
+    "ends", [["silent"], ["refused"], ["busy"], ["empty", "silent"], ["silent", "refused", "busy"]]
+)
 @pytest.mark.parametrize("within_s", [4, 10, 60])
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_change_is_known_within_6_s_of_discoverys_being_reached_again(
