A held request whose client closed at a standstill of the process: its test

After a standstill timers come before what the sockets have, and the pause behind a refusal is over by then.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -55,6 +55,24 @@
     assert len(server.statements) == 2, "the first attempt, and the other client's"
 
 
+@scene(in_a_place, replicas=0)
+async def test_no_attempt_for_a_held_request_whose_client_closed_at_a_standstill(one: World) -> None:
+    """The pause behind a refusal ends at the standstill: its timer comes before what the sockets have."""
+    await settled(one)
+    server, peer = one.servers[0], Peer(one.address)
+    server.statements.clear()
+    server.mode = ["full"] * 100
+    peer.send(STARTUP + query(post()))
+    await one.until(lambda: bool(server.statements))
+    await stopped(one)
+    await asyncio.sleep(0.2)  # the standstill itself, longer than the pause
+    sent, server.mode = len(server.statements), "good"
+    peer.sock.shutdown(socket.SHUT_RDWR)
+    one.signal(signal.SIGCONT)
+    assert value(await (await one.client()).ask(post())) == GOOD
+    assert len(server.statements) == sent + 1, "the other client's"
+
+
 @scene(in_a_place, replicas=0)
 async def test_a_further_attempt_is_told_what_is_left_at_its_write(one: World) -> None:
     client, server = await settled(one), one.servers[0]
