A cold primary is let in by answers, not arrivals; a repeat after FULL is one more

Cause: each request that only a cold primary takes is let in by its draw, but each of its repeats after FULL passed by the same draw, and the share was reckoned by what comes, not by what members answer, which is less in overload. Change: a FULL adds one to the draw, so that the sends of one kind add up to the share however often they repeat; the share is reckoned by the answers that have come for each request of late, half at least.

--- a/oatlink/book.py
+++ b/oatlink/book.py
@@ -60,10 +60,12 @@
     shown: float = 0.0
     shown_us: int = LONG_AGO
 
-    # Requests that came, and the share of them that only a primary takes; what one is worth of late; each tenant's
-    # share at this router, a second's worth of requests in hand: rate, left, when (`arrivals`).
+    # Requests that came, the share of them that only a primary takes, answers for each of late (`room`); what one is
+    # worth of late; each tenant's share at this router, a second's worth of requests in hand: rate, left, when
+    # (`arrivals`).
     arrived: int = 0
     tied: float = 0.0
+    answered: float = 1.0
     worth: float = 0.0
     shares: dict[str, tuple[float, float, int]] = field(default_factory=dict)
 
--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -18,7 +18,7 @@
     if book.settings.peers > terms.FEW_PEERS:
         request.tied = rule.freshness in (Freshness.WRITE, Freshness.LATEST)
         request.draw = (1 + book.random.randrange(DRAWS)) / DRAWS
-        book.arrived += 1
+        book.arrived, book.answered = book.arrived + 1, 0.95 * book.answered
         book.tied += (request.tied - book.tied) * max(1 / book.arrived, 0.01)
     book.requests[request.id] = request
     if group.checked_us < 0:
--- a/oatlink/rules/cold.py
+++ b/oatlink/rules/cold.py
@@ -9,10 +9,8 @@
 
 def warmth(book: Book, member: Member) -> float:
     """The share of its full strength that a member surely has by now."""
-    age, whole = book.now - member.started_us, book.settings.warm_after_us
-    if member.started_us <= 0 or age >= whole:
-        return 1.0
-    return book.settings.cold_share + (1.0 - book.settings.cold_share) * max(0, age) / whole
+    age, whole, least = book.now - member.started_us, book.settings.warm_after_us, book.settings.cold_share
+    return 1.0 if member.started_us <= 0 or age >= whole else least + (1.0 - least) * max(0, age) / whole
 
 
 def within_budget(book: Book, member: Member, weight: float, request: Request | None = None) -> bool:
@@ -31,8 +29,8 @@
         shown = sum(rate(book, one) for one in peers) / len(peers) if peers else book.shown
         book.shown = max(shown, 0.99 * book.shown + 0.01 * shown)
     window_s, part = settings.fall_us / 1e6, COLD_PART * settings.overload_factor * warm
-    # What only the primary takes, as a multiple of what a member of the group takes of all requests.
-    own = book.tied * sum(not one.drained for one in group.members.values())
+    # What only the primary takes, in what a member answers. Threat: nothing is answered, so nothing let in.
+    own = book.tied * sum(not one.drained for one in group.members.values()) / max(0.5, min(1, book.answered))
     if request is not None and request.tied:
         # Threat: all that has waited comes at once. It is spread over as long as it can have waited.
         spread_us = settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us) or -1
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -94,6 +94,7 @@
     if end.outcome is Outcome.NOT_SENT or book.now >= request.expires_us - book.margin_us:
         return holding.give_up(book, request)
     request.tried.append(end.member)
+    request.draw += request.tied and end.outcome is Outcome.FULL  # Threat: each send weighs, also a repeat
     # Threat: requests that fail everywhere. One error may be the member's, a second is the request's.
     error = end.outcome is Outcome.ERROR
     again, request.failed = request.failed and error, request.failed or error
--- a/oatlink/rules/room.py
+++ b/oatlink/rules/room.py
@@ -24,7 +24,7 @@
     group = book.groups[member.entry.group]
     if event.outcome is Outcome.SERVED:
         member.rate = cold.rate(book, member) + 1e6 / terms.HEARTBEAT_US
-        member.rate_us, member.refused = book.now, 0
+        member.rate_us, member.refused, book.answered = book.now, 0, book.answered + 0.05
         # Threat: a first guess far above what answers take keeps a member out of the turn for long.
         member.duration_us += (0.1 if member.duration_us else 1.0) * (event.duration_us - member.duration_us)
         group.usual_us = -1.0
