A router keeps a token for a cold member and the check that goes before

Cause: at most one token was kept. A read with a bounded age has a replica checked first, which costs a tenth of one; the read then lacked a tenth, and when that had come the report was too old again. With 200 equal routers a cold replica that had caught up got 0.01 to 0.06 of what it can do. Change: 1.1 tokens are kept, an attempt and the largest cost of a check.

--- a/oatlink/rules/cold.py
+++ b/oatlink/rules/cold.py
@@ -4,6 +4,7 @@
 from oatlink.rules.terms import HEARTBEAT_US
 
 COLD_PART = 0.7  # of what a cold member bears, given out among all routers: the rest is left for chance
+KEPT = 1.1  # tokens that a router may always keep: an attempt, and the check that shows a replica fit for it
 COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
 
 
@@ -38,7 +39,7 @@
     part -= own if group.primary == member.entry.member else 0.0
     token_rate = max(COLD_FLOOR / settings.peers / window_s, part * book.shown)
     passed_s = (book.now - max(member.tokens_us, member.started_us)) / 1e6
-    member.tokens = min(max(1.0, token_rate * window_s), member.tokens + token_rate * max(0.0, passed_s))
+    member.tokens = min(max(KEPT, token_rate * window_s), member.tokens + token_rate * max(0.0, passed_s))
     member.tokens_us = book.now
     return member.tokens >= weight
 
