A group's share that nobody tries lets one request in after a fall's time

Seen by value (tests/test_terms.py, red when it came): once a group's share has fallen to 0.05, 23 of 40 gateways of a big fleet refuse each of 16 requests in 4 s by chance, though their servers live again. Cause: rules/arrivals.py, the draw alone decides, and only answers raise the share, so a gateway with few requests never finds out.

Change: after `fall_us` of the settings without one let in, the next is (a half-open try, as of a circuit breaker).

--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -27,11 +27,11 @@
         checks.check_old(book, group)
     book.worth += 0.05 * (request.worth - book.worth)
     drawn = book.random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
-    if drawn > group.share ** book.worth:
+    if drawn > group.share ** book.worth and book.now - group.let_us < book.settings.fall_us:
         holding.give_up(book, request)
-    else:  # Threat: a tenant's flood. Past its share it does not pass what waits; nor does anyone
-        # pass it to a room that an answer of this instant has freed.
-        held = bool(book.holds[group.id].held)
+    else:  # Threats: a share that is never tried never comes back. A tenant's flood: past its share it does
+        # not pass what waits; nor does anyone pass it to a room that an answer of this instant has freed.
+        group.let_us, held = book.now, bool(book.holds[group.id].held)
         placing.place(book, request, held and (request.worth < rule.worth or group.id in book.unsettled))
     due.plan(book, group)
 
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -86,6 +86,7 @@
     answer_us: float = 0.0  # what answers took of late
     usual_us: float = -1.0  # what answers take; below 0 it must be counted anew
     share: float = 1.0
+    let_us: int = LONG_AGO  # when a request was last let in by that share
     checked_us: int = LONG_AGO
     lost_us: int = 0  # since when there was no primary,
     known_us: int = 0  # until this one was known
