--- /dev/null
+++ b/oatlink/fleet/control/scopes.py
@@ -0,0 +1,57 @@
+"""Names of scopes, and which of them a process takes. No state.
+
+`all`, `region/R`, `zone/R/Z` and `group/G` are for readers; `names/R/Z` (who is there) is for sources alone. A scope
+for readers exists where `all` has an entry `key_of(scope)`: for a region or zone its value is how many processes are
+there, in digits.
+"""
+
+from oatlink.fleet.messages.control import MOST_SCOPE, MOST_SCOPES
+
+ALL = "all"
+_PARTS = {"region": 1, "zone": 2, "group": 1, "names": 2}
+
+
+def is_scope(name: str) -> bool:
+    """Whether this may be a scope's name. Threat: a name that is no register's key, or that two write differently."""
+    if len(name) > MOST_SCOPE or not name.isascii() or not name.isprintable() or " " in name:
+        return False
+    kind, *parts = name.split("/")
+    return name == ALL or (len(parts) == _PARTS.get(kind, -1) and all(parts))
+
+
+def names_of(region: str, zone: str) -> str:
+    """The scope with the names of a zone."""
+    return f"names/{region}/{zone}"
+
+
+def is_names(scope: str) -> bool:
+    """Whether only sources take it."""
+    return scope.startswith("names/")
+
+
+def zone_of(names: str) -> tuple[str, str]:
+    """Region and zone of a scope `names/R/Z`."""
+    _, region, zone = names.split("/")
+    return region, zone
+
+
+def key_of(scope: str) -> str:
+    """The key in `all` that says that a scope exists; at a region's or zone's, how many processes are there."""
+    return f"scope/{scope}"
+
+
+def scope_of(key: str) -> str:
+    """The scope that an entry of `all` names, empty where it names none."""
+    scope = key[6:] if key.startswith("scope/") else ""
+    return scope if is_scope(scope) and not is_names(scope) else ""
+
+
+def taken_by(region: str, zone: str, groups: tuple[str, ...] = ()) -> tuple[str, ...]:
+    """What a process of this region, zone and these groups takes. ValueError for a name that is none, or too many."""
+    scopes = dict.fromkeys((ALL, f"region/{region}", f"zone/{region}/{zone}", *(f"group/{one}" for one in groups)))
+    for one in scopes:
+        if not is_scope(one):
+            raise ValueError(f"{one!r} is no scope")
+    if len(scopes) > MOST_SCOPES:
+        raise ValueError(f"{len(scopes)} scopes, {MOST_SCOPES} at most")
+    return tuple(scopes)
--- a/oatlink/fleet/control/table.py
+++ b/oatlink/fleet/control/table.py
@@ -144,6 +144,12 @@
         """The snapshot under way is given up."""
         self._gathering = None
 
+    def begin(self, epoch: int) -> None:
+        """An epoch without a version yet: nothing of the one before is in it. For sources, that know it agreed."""
+        self.head = Head(self.head.scope, epoch, 0)
+        self.entries, self._keys, self._gathering, self._held_bytes = {}, None, None, 0
+        self._kept.clear()
+
     # ---- Giving ----
 
     def since(self, head: Head, most_bytes: int = PAGE_BYTES) -> tuple[Delta, ...] | None:
