--- a/oatlink/fleet/control/scopes.py
+++ b/oatlink/fleet/control/scopes.py
@@ -1,8 +1,8 @@
 """Names of scopes, and which of them a process takes. No state.
 
 `all`, `region/R`, `zone/R/Z` and `group/G` are for readers; `names/R/Z` (who is there) is for sources alone. A scope
-for readers exists where `all` has an entry `key_of(scope)`: for a region or zone its value is how many processes are
-there, in digits.
+for readers exists where `all` has an entry `key_of(scope)`: `group/G`, whatever its value, `readers/R` and `readers/R/Z`
+with the number of readers there, in digits.
 """
 
 from oatlink.fleet.messages.control import MOST_SCOPE, MOST_SCOPES
@@ -36,14 +36,16 @@
 
 
 def key_of(scope: str) -> str:
-    """The key in `all` that says that a scope exists; at a region's or zone's, how many processes are there."""
-    return f"scope/{scope}"
+    """The key in `all` that says that a scope for readers exists; at a region's or zone's, how many readers are there."""
+    kind, _, rest = scope.partition("/")
+    return scope if kind == "group" else f"readers/{rest}"
 
 
 def scope_of(key: str) -> str:
-    """The scope that an entry of `all` names, empty where it names none."""
-    scope = key[6:] if key.startswith("scope/") else ""
-    return scope if is_scope(scope) and not is_names(scope) else ""
+    """The scope that an entry of `all` says to exist, empty where it says so of none."""
+    kind, _, rest = key.partition("/")
+    scope = key if kind == "group" else f"{'zone' if '/' in rest else 'region'}/{rest}" if kind == "readers" else ""
+    return scope if is_scope(scope) else ""
 
 
 def taken_by(region: str, zone: str, groups: tuple[str, ...] = ()) -> tuple[str, ...]:
