Stream of control: cores of a reader and a relay, first whole version

Cause: nothing carries a change to 3,600 gateways; the design names upstream, downstream, sums, age and reader.

A beat bears the mark of the child's last word and how long ago that came, so that an age counts what the link may have held.

--- /dev/null
+++ b/oatlink/fleet/control/reader.py
@@ -0,0 +1,276 @@
+"""A reader of the stream of control, and where `relays` is over 0 a relay too: its parts put together. No I/O.
+
+What may live here: which part hears what, what follows in one part from another, and what is told to the shell. The
+shell calls `tick` at `due_us`, hands over what comes, and says when a link has failed; each call returns effects:
+`Tell`, `Known` before somebody new is spoken to, `InForce` and `Note`.
+
+Only the upstream's word on versions is taken, and that only forward (`table`). What a relay gives its children is its
+own tables; a scope that only a child takes is borrowed: taken as one's own is, but not told as in force here.
+"""
+
+from collections.abc import Mapping
+from random import Random
+from types import MappingProxyType
+
+from oatlink.fleet.control.age import Age
+from oatlink.fleet.control.bounds import are_heads, is_changes, is_page
+from oatlink.fleet.control.downstream import FULL_MS, Downstream
+from oatlink.fleet.control.drops import Drops
+from oatlink.fleet.control.sums import Sums
+from oatlink.fleet.control.table import Table
+from oatlink.fleet.control.upstream import OLD_US, Upstream
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.messages.base import NEVER_US, Message
+from oatlink.fleet.messages.effects import Effect, Tell
+
+MOST_MISFITS = 4  # pages in a row that do not fit the snapshot under way: it is given up
+
+
+class Reader:
+    """One process. `place`: its name and where it listens; `relays`: how many others it may serve.
+
+    Times are microseconds of its own monotonic clock. Raises `ValueError` where it would take more than `MOST_SCOPES`.
+    """
+
+    def __init__(
+        self,
+        place: c.Place,
+        region: str,
+        zone: str,
+        groups: tuple[str, ...],
+        incarnation: int,
+        sources: tuple[c.Place, ...],
+        relays: int,
+        drift: float,
+        seed: int,
+        now_us: int,
+    ) -> None:
+        own = dict.fromkeys(("all", f"region/{region}", f"zone/{region}/{zone}", *(f"group/{one}" for one in groups)))
+        if len(own) > c.MOST_SCOPES:
+            raise ValueError(f"{len(own)} scopes, {c.MOST_SCOPES} at most")
+        self._place, self._incarnation, self._own = place, incarnation, tuple(own)
+        self._size_key = f"readers/{region}/{zone}"  # in `all`: how many readers the zone has
+        self._tables = {scope: Table(scope) for scope in own}
+        self._drops = Drops()
+        self._age = Age(drift, Random(f"mark/{seed}/{place.name}/{incarnation}").randrange(1 << 40))
+        join = c.Join(incarnation, region, zone, place.address, relays)
+        self._upstream = Upstream(join, place.name, sources, self._subscription, seed, now_us)
+        self._sums = Sums(place.name, self._tables, self._own, seed, now_us)
+        self._downstream = Downstream(
+            self._tables, self._sums, self._drops, relays, self._age.at, self._take, seed, now_us
+        )
+        self._misfits: dict[str, int] = {}
+        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have
+        self._stuck = 0  # beats since anything of it came
+        self._more = self._over = False
+
+    # ---- Questions ----
+
+    @property
+    def due_us(self) -> int:
+        """When to call `tick` next."""
+        if self._over:
+            return NEVER_US
+        due = min(self._upstream.due_us, self._downstream.due_us)
+        return min(due, self._sums.due_us) if self._upstream.peer else due
+
+    def head(self, scope: str) -> c.Head:
+        """What is in force here."""
+        return self._tables[scope].head if scope in self._tables else c.Head(scope)
+
+    def entries(self, scope: str) -> Mapping[str, bytes]:
+        """The entries in force; a view that moves with them."""
+        return MappingProxyType(self._tables[scope].entries if scope in self._tables else {})
+
+    def age_us(self, now_us: int) -> int:
+        """How old what we know is at most; `NEVER_US` where no word of a source ever came."""
+        return self._age.at(now_us)
+
+    def below(self, scope: str) -> c.Lag:
+        """The process itself and all below it, in one of its scopes."""
+        return self._sums.lag(scope)
+
+    def rows(self, now_us: int) -> list[tuple[str, str]]:
+        """For operators: name and text."""
+        age_us = self._age.at(now_us)
+        old = "never heard" if age_us >= NEVER_US else f"{age_us // 1_000} ms old"
+        spare = self._upstream.spare
+        links = f"upstream {self._upstream.peer or 'none'}, spare {spare.name if spare else 'none'}"
+        heads = " ".join(f"{one.head.scope}={one.head.epoch}/{one.head.version}" for one in self._tables.values())
+        state = f"{'behind, ' if self._age.behind(now_us) else ''}{old}, {links}, children {len(self._downstream)}"
+        return [("control", f"{state}, {heads}, dropped {self._drops.text()}")]
+
+    # ---- What happens ----
+
+    def tick(self, now_us: int) -> list[Effect]:
+        """Time has passed."""
+        if self._over:
+            return []
+        effects = self._upstream.tick(now_us) + self._downstream.tick(now_us)
+        if self._upstream.peer and now_us >= self._sums.due_us:
+            report = self._sums.report(self._incarnation, self._age.mark(now_us), now_us)
+            effects.append(Tell(self._upstream.peer, report))
+        return effects
+
+    def receive(self, sender: str, message: Message, now_us: int) -> list[Effect]:
+        """A word of another process, whose name the link has proved."""
+        if self._over:
+            return []
+        return self._take_word(sender, message, now_us) + self.tick(now_us)
+
+    def silent(self, peer: str, now_us: int) -> list[Effect]:
+        """A link to it failed."""
+        effects = self._upstream.silent(peer, "is out of reach", now_us) + self._downstream.gone(peer)
+        return effects + self.tick(now_us)
+
+    def leave(self, now_us: int) -> list[Effect]:
+        """The process is about to stop in an orderly way; it does nothing more."""
+        peers = [self._upstream.peer] if self._upstream.peer else []
+        self._over = True
+        return [Tell(peer, c.Leave(self._incarnation)) for peer in [*peers, *self._downstream.names()]]
+
+    # ---- Words ----
+
+    def _take_word(self, sender: str, message: Message, now_us: int) -> list[Effect]:
+        match message:
+            case c.Changes() | c.Page() | c.Beat():
+                return self._from_upstream(sender, message, now_us)
+            case c.Subscribe():
+                if sender == self._upstream.peer:  # threat: two that hear each other and no source
+                    return [Tell(sender, c.Refused(message.incarnation, "bad", FULL_MS))]
+                effects = self._downstream.subscribe(sender, message, now_us)
+                if self._more:
+                    self._more = False
+                    self._upstream.gap(now_us)
+                return effects
+            case c.Report():
+                return self._downstream.report(sender, message, now_us)
+            case c.Leave():
+                self._downstream.gone(sender, message.incarnation)
+                return self._upstream.silent(sender, "leaves", now_us)
+            case c.Seat():
+                if self._upstream.seat(sender, message, now_us):
+                    return []
+            case c.Refused():
+                if message.reason == "unknown" and sender == self._upstream.peer and self._give_back(now_us):
+                    return []
+                effects_or_none = self._upstream.refused(sender, message, now_us)
+                if effects_or_none is not None:
+                    return effects_or_none
+        return self._drops.add(f"{type(message).__name__} not asked for", sender, now_us)
+
+    def _from_upstream(self, sender: str, word: c.Changes | c.Page | c.Beat, now_us: int) -> list[Effect]:
+        if sender != self._upstream.peer:
+            return self._drops.add("word of one that is not the upstream", sender, now_us)
+        if isinstance(word, c.Beat):
+            return self._beat(sender, word, now_us)
+        self._upstream.hears(sender, now_us)
+        table = self._tables.get(word.scope)
+        if table is None:
+            return self._drops.add("scope not taken", sender, now_us)
+        if isinstance(word, c.Page):
+            return self._page(sender, table, word, now_us)
+        return self._changes(sender, table, word, now_us)
+
+    def _changes(self, sender: str, table: Table, word: c.Changes, now_us: int) -> list[Effect]:
+        if not is_changes(word):
+            return self._drops.add("impossible changes", sender, now_us)
+        effects: list[Effect] = []
+        moved = False
+        for delta in word.deltas:
+            was = table.head
+            if table.apply(delta):
+                if table.head != was:
+                    moved = True
+                    effects += self._in_force(table, delta.entries, False)
+            elif (delta.epoch, delta.version) > (was.epoch, was.version):
+                self._upstream.gap(now_us)
+                effects += self._drops.add("changes behind a gap", sender, now_us)
+            else:
+                effects += self._drops.add("changes that go back", sender, now_us)
+        if moved:
+            self._moved(table, now_us)
+        return effects
+
+    def _page(self, sender: str, table: Table, word: c.Page, now_us: int) -> list[Effect]:
+        if not is_page(word):
+            return self._drops.add("impossible page", sender, now_us)
+        dropped = table.dropped
+        if table.gather(word):
+            self._moved(table, now_us)
+            whole = tuple(c.Entry(key, value) for key, value in table.entries.items())
+            return self._in_force(table, whole, True)
+        scope = table.head.scope
+        if table.dropped == dropped:
+            self._misfits[scope] = 0
+            return []
+        self._misfits[scope] = self._misfits.get(scope, 0) + 1
+        if self._misfits[scope] >= MOST_MISFITS:
+            self._misfits[scope] = 0
+            table.forget_gathering()
+        if (word.epoch, word.now) > (table.head.epoch, table.head.version):
+            self._upstream.gap(now_us)
+        return self._drops.add("page that does not fit", sender, now_us)
+
+    def _beat(self, sender: str, word: c.Beat, now_us: int) -> list[Effect]:
+        age_us = self._age.of(word.mark, word.since_ms, word.age_ms, now_us) if are_heads(word.heads) else None
+        if age_us is None:  # of before our last subscription, or played again: it shows no life either
+            return self._drops.add("beat that answers nothing of ours", sender, now_us)
+        self._upstream.hears(sender, now_us, age_us > OLD_US)
+        told = {head.scope: head for head in word.heads}
+        lacks = [one for one in self._tables.values() if told.get(one.head.scope, one.head) > one.head]
+        if not lacks and all(scope in told for scope in self._tables):
+            self._age.told(age_us, now_us)  # only now: it is the age of what is in force here
+        seen: tuple[object, ...] = tuple((one.head, one.gathering) for one in lacks)
+        self._stuck = self._stuck + 1 if seen and seen == self._lacks else 0
+        self._lacks = seen
+        if self._stuck > 1 and self._stuck & (self._stuck - 1) == 0:  # 2, 4, 8: we may but wait for our turn
+            self._upstream.gap(now_us)
+        return []
+
+    # ---- Parts ----
+
+    def _in_force(self, table: Table, entries: tuple[c.Entry, ...], whole: bool) -> list[Effect]:
+        return [c.InForce(table.head, entries, whole)] if table.head.scope in self._own else []
+
+    def _moved(self, table: Table, now_us: int) -> None:
+        self._downstream.changed(table.head.scope, now_us)
+        self._sums.news(now_us)
+        if table.head.scope == "all":
+            size = table.entries.get(self._size_key, b"")
+            if len(size) < 8 and size.isdigit():
+                self._upstream.zone_has(int(size))
+
+    def _subscription(self, now_us: int) -> c.Subscribe:
+        """The word to a new upstream, or to the same one after a gap."""
+        heads = tuple(one.head for one in self._tables.values())
+        under_way = ((scope, one.gathering) for scope, one in self._tables.items())
+        resume = tuple((scope, *found) for scope, found in under_way if found is not None)
+        return c.Subscribe(self._incarnation, heads, resume, self._age.mark(now_us))
+
+    def _take(self, scope: str) -> bool:
+        """A child takes it: so do we, where there is room; a borrowed one that no child takes any more makes room."""
+        if scope in self._tables:
+            return True
+        if len(self._tables) >= c.MOST_SCOPES:
+            unused = [one for one in self._tables if one not in self._own and not self._downstream.feed.takes(one)]
+            if not unused:
+                return False
+            del self._tables[unused[0]]
+        self._tables[scope] = Table(scope)
+        self._more = True
+        return True
+
+    def _give_back(self, now_us: int) -> bool:
+        """The upstream does not know a scope of ours: those borrowed that never had a version go, with their children.
+
+        Threat: one child that asks for a group that is none, and so takes the upstream from its relay.
+        """
+        over = [scope for scope, one in self._tables.items() if scope not in self._own and not one.head.version]
+        for scope in over:
+            for child in self._downstream.feed.takers(scope):
+                self._downstream.gone(child)
+            del self._tables[scope]
+        if over:
+            self._upstream.gap(now_us)
+        return bool(over)
--- a/oatlink/fleet/control/table.py
+++ b/oatlink/fleet/control/table.py
@@ -81,6 +81,9 @@
             self.dropped += self._gathering is None
             return self._gathering is not None
         self._put(delta)
+        one = self._gathering
+        if one is not None and (one.epoch, one.first) <= (self.head.epoch, self.head.version):
+            self._gathering = None  # changes have led past where it began: no page is needed any more
         return True
 
     def _keep_for(self, one: _Gathering, delta: Delta) -> None:
@@ -154,7 +157,8 @@
             return None
         found: list[Delta] = []
         size = 0
-        for delta in list(self._kept)[head.version - self.floor :]:
+        for at in range(head.version - self.floor, len(self._kept)):  # near the newest as a rule: no walk over all
+            delta = self._kept[at]
             size += size_of(delta.entries)
             if found and size > most_bytes:
                 break
--- a/oatlink/fleet/messages/control.py
+++ b/oatlink/fleet/messages/control.py
@@ -66,7 +66,10 @@
 
 
 class Seat(Message, frozen=True, gc=False):
-    """A source's answer: whom to subscribe to, whom where that one falls silent, after how long at the earliest."""
+    """A source's answer: whom to subscribe to, whom where that one falls silent, after how long at the earliest.
+
+    `incarnation`: the asker's, so that an answer to the process before it is not taken.
+    """
 
     incarnation: int
     upstream: Place
@@ -75,7 +78,10 @@
 
 
 class Refused(Message, frozen=True, gc=False):
-    """Not now, or not this one: `twice` (another process has the name and is alive), `full`, `unknown`, `bad`."""
+    """Not now, or not this one: `twice` (another process has the name and is alive), `full`, `unknown`, `bad`.
+
+    `incarnation`: the asker's.
+    """
 
     incarnation: int
     reason: str
@@ -94,12 +100,13 @@
 class Subscribe(Message, frozen=True, gc=False):
     """To an upstream: what this reader has of each scope that it takes. The upstream goes on from there.
 
-    `resume`: a snapshot under way, as (scope, its epoch, its first version, last key taken).
+    `resume`: a snapshot under way, as (scope, its epoch, its first version, last key taken). `mark`: see `Beat`.
     """
 
     incarnation: int
     heads: tuple[Head, ...]
     resume: tuple[tuple[str, int, int, str], ...] = ()
+    mark: int = 0
 
 
 class Changes(Message, frozen=True, gc=False):
@@ -127,10 +134,16 @@
 
 
 class Beat(Message, frozen=True, gc=False):
-    """Nothing is missing: how far the sender is in what this child takes, and how old its word from a source is."""
+    """Nothing is missing: how far the sender is in what this child takes, and how old its word from a source is.
+
+    `mark`: of the child's last `Subscribe` or `Report`, which came `since_ms` ago. By it the child knows how long the
+    link can have held the beat, from when it asked itself. Threat: a link that holds words and gives them late.
+    """
 
     age_ms: int
     heads: tuple[Head, ...] = ()
+    mark: int = 0
+    since_ms: int = 0
 
 
 # ---- Up ----
@@ -152,13 +165,15 @@
 class Report(Message, frozen=True, gc=False):
     """From a child to its upstream, now and then and after news: sums, its own part included.
 
-    `alive`: names and incarnations of its own children, for the source that knows names (`relays` pass them on).
+    `alive`: names and incarnations of its own children, for the source that knows names (`relays` pass them on); empty
+    in a report after news, which says nothing of them then. `mark`: see `Beat`.
     """
 
     incarnation: int
     lags: tuple[Lag, ...]
     children: int = 0
     alive: tuple[tuple[str, int], ...] = ()
+    mark: int = 0
 
 
 # ---- Among sources ----
