Stream of control: a relay's beat tells only of scopes that its age speaks of

Change: the age is of own scopes, a beat leaves out the scopes that it does not cover; what an upstream says is taken in a module of its own (hearing).

--- a/oatlink/fleet/control/downstream.py
+++ b/oatlink/fleet/control/downstream.py
@@ -41,7 +41,11 @@
 
 
 class Downstream:
-    """`age_us(now_us)`: how old the owner's word is; `take(scope)`: whether the owner takes that scope, from now on."""
+    """`take(scope)`: whether the owner takes that scope, from now on; `age_us(now_us)`: how old the owner's word is.
+
+    `covers(scope)`: whether that age speaks of this scope. Threat: one that a relay took a moment ago for a child, and
+    has nothing of yet.
+    """
 
     def __init__(
         self,
@@ -51,13 +55,14 @@
         most: int,
         age_us: Callable[[int], int],
         take: Callable[[str], bool],
+        covers: Callable[[str], bool],
         seed: int,
         now_us: int,
         rate: int = RATE,
     ) -> None:
         self.feed = Feed(tables, now_us, rate)
         self._tables, self._sums, self._drops, self._most = tables, sums, drops, most
-        self._age_us, self._take = age_us, take
+        self._age_us, self._take, self._covers = age_us, take, covers
         self._draw = Random(f"downstream/{seed}")
         self._children: dict[str, _Child] = {}
         self._beats: list[tuple[int, int, str]] = []
@@ -148,5 +153,5 @@
         heapq.heappush(self._beats, (at_us, one.turn, child))
 
     def _beat(self, child: str, one: _Child, now_us: int) -> Beat:
-        heads = tuple(self._tables[scope].head for scope in self.feed.scopes(child))
+        heads = tuple(self._tables[scope].head for scope in self.feed.scopes(child) if self._covers(scope))
         return Beat(in_ms(self._age_us(now_us)), heads, one.mark, (now_us - one.mark_us) // 1_000)
--- a/oatlink/fleet/control/reader.py
+++ b/oatlink/fleet/control/reader.py
@@ -13,18 +13,16 @@
 from types import MappingProxyType
 
 from oatlink.fleet.control.age import Age
-from oatlink.fleet.control.bounds import are_heads, is_changes, is_page
 from oatlink.fleet.control.downstream import FULL_MS, Downstream
 from oatlink.fleet.control.drops import Drops
+from oatlink.fleet.control.hearing import Hearing
 from oatlink.fleet.control.sums import Sums
 from oatlink.fleet.control.table import Table
-from oatlink.fleet.control.upstream import OLD_US, Upstream
+from oatlink.fleet.control.upstream import Upstream
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.base import NEVER_US, Message
 from oatlink.fleet.messages.effects import Effect, Tell
 
-MOST_MISFITS = 4  # pages in a row that do not fit the snapshot under way: it is given up
-
 
 class Reader:
     """One process. `place`: its name and where it listens; `relays`: how many others it may serve.
@@ -56,12 +54,9 @@
         join = c.Join(incarnation, region, zone, place.address, relays)
         self._upstream = Upstream(join, place.name, sources, self._subscription, seed, now_us)
         self._sums = Sums(place.name, self._tables, self._own, seed, now_us)
-        self._downstream = Downstream(
-            self._tables, self._sums, self._drops, relays, self._age.at, self._take, seed, now_us
-        )
-        self._misfits: dict[str, int] = {}
-        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have
-        self._stuck = 0  # beats since anything of it came
+        self._hearing = Hearing(self._tables, self._own, self._age, self._upstream, self._drops, self._moved)
+        given = self._age.at, self._take, self._hearing.covers
+        self._downstream = Downstream(self._tables, self._sums, self._drops, relays, *given, seed, now_us)
         self._more = self._over = False
 
     # ---- Questions ----
@@ -134,7 +129,7 @@
     def _take_word(self, sender: str, message: Message, now_us: int) -> list[Effect]:
         match message:
             case c.Changes() | c.Page() | c.Beat():
-                return self._from_upstream(sender, message, now_us)
+                return self._hearing.receive(sender, message, now_us)
             case c.Subscribe():
                 if sender == self._upstream.peer:  # threat: two that hear each other and no source
                     return [Tell(sender, c.Refused(message.incarnation, "bad", FULL_MS))]
@@ -159,80 +154,8 @@
                     return effects_or_none
         return self._drops.add(f"{type(message).__name__} not asked for", sender, now_us)
 
-    def _from_upstream(self, sender: str, word: c.Changes | c.Page | c.Beat, now_us: int) -> list[Effect]:
-        if sender != self._upstream.peer:
-            return self._drops.add("word of one that is not the upstream", sender, now_us)
-        if isinstance(word, c.Beat):
-            return self._beat(sender, word, now_us)
-        self._upstream.hears(sender, now_us)
-        table = self._tables.get(word.scope)
-        if table is None:
-            return self._drops.add("scope not taken", sender, now_us)
-        if isinstance(word, c.Page):
-            return self._page(sender, table, word, now_us)
-        return self._changes(sender, table, word, now_us)
-
-    def _changes(self, sender: str, table: Table, word: c.Changes, now_us: int) -> list[Effect]:
-        if not is_changes(word):
-            return self._drops.add("impossible changes", sender, now_us)
-        effects: list[Effect] = []
-        moved = False
-        for delta in word.deltas:
-            was = table.head
-            if table.apply(delta):
-                if table.head != was:
-                    moved = True
-                    effects += self._in_force(table, delta.entries, False)
-            elif (delta.epoch, delta.version) > (was.epoch, was.version):
-                self._upstream.gap(now_us)
-                effects += self._drops.add("changes behind a gap", sender, now_us)
-            else:
-                effects += self._drops.add("changes that go back", sender, now_us)
-        if moved:
-            self._moved(table, now_us)
-        return effects
-
-    def _page(self, sender: str, table: Table, word: c.Page, now_us: int) -> list[Effect]:
-        if not is_page(word):
-            return self._drops.add("impossible page", sender, now_us)
-        dropped = table.dropped
-        if table.gather(word):
-            self._moved(table, now_us)
-            whole = tuple(c.Entry(key, value) for key, value in table.entries.items())
-            return self._in_force(table, whole, True)
-        scope = table.head.scope
-        if table.dropped == dropped:
-            self._misfits[scope] = 0
-            return []
-        self._misfits[scope] = self._misfits.get(scope, 0) + 1
-        if self._misfits[scope] >= MOST_MISFITS:
-            self._misfits[scope] = 0
-            table.forget_gathering()
-        if (word.epoch, word.now) > (table.head.epoch, table.head.version):
-            self._upstream.gap(now_us)
-        return self._drops.add("page that does not fit", sender, now_us)
-
-    def _beat(self, sender: str, word: c.Beat, now_us: int) -> list[Effect]:
-        age_us = self._age.of(word.mark, word.since_ms, word.age_ms, now_us) if are_heads(word.heads) else None
-        if age_us is None:  # of before our last subscription, or played again: it shows no life either
-            return self._drops.add("beat that answers nothing of ours", sender, now_us)
-        self._upstream.hears(sender, now_us, age_us > OLD_US)
-        told = {head.scope: head for head in word.heads}
-        lacks = [one for one in self._tables.values() if told.get(one.head.scope, one.head) > one.head]
-        if not lacks and all(scope in told for scope in self._tables):
-            self._age.told(age_us, now_us)  # only now: it is the age of what is in force here
-        seen: tuple[object, ...] = tuple((one.head, one.gathering) for one in lacks)
-        self._stuck = self._stuck + 1 if seen and seen == self._lacks else 0
-        self._lacks = seen
-        if self._stuck > 1 and self._stuck & (self._stuck - 1) == 0:  # 2, 4, 8: we may but wait for our turn
-            self._upstream.gap(now_us)
-        return []
-
     # ---- Parts ----
 
-    def _in_force(self, table: Table, entries: tuple[c.Entry, ...], whole: bool) -> list[Effect]:
-        return [c.InForce(table.head, entries, whole)] if table.head.scope in self._own else []
-
     def _moved(self, table: Table, now_us: int) -> None:
         self._downstream.changed(table.head.scope, now_us)
         self._sums.news(now_us)
@@ -258,6 +181,7 @@
                 return False
             del self._tables[unused[0]]
         self._tables[scope] = Table(scope)
+        self._hearing.covered.pop(scope, None)
         self._more = True
         return True
 
--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -3,8 +3,8 @@
 What may live here: whom to subscribe to, when it counts as silent, when a source is asked for a seat. What the upstream
 says is the reader's.
 
-- One upstream at a time; what anybody else says of versions is not taken. Silent for `SILENT_US`, or its link failed,
-  or it leaves, or it refuses: the spare at once, and a new spare is asked for later.
+- One upstream at a time; what anybody else says of versions is not taken. Only a beat shows that it lives. Silent for
+  `SILENT_US`, its link failed, it leaves or refuses: the spare at once, and a new spare is asked for later.
 - A source is asked at a time drawn over a window: `PER_READER_US` for each reader of the zone, doubled with each try,
   up to `MOST_WINDOW_US`. So a zone asks 50 times a second at most in its first window, whatever its size; one that does
   not answer within `JOIN_US` is followed by the next in an order drawn by seed.
@@ -85,17 +85,13 @@
 
     # ---- What comes ----
 
-    def hears(self, sender: str, now_us: int, old: bool | None = None) -> bool:
-        """A word on versions; whether it is the upstream's. `old`: what a beat shows of its age."""
-        if sender != self.peer:
-            return False
+    def hears(self, now_us: int, old: bool) -> None:
+        """A beat of the upstream that answers a word of ours; `old`: whether its word is over `OLD_US`."""
         self._heard_us = now_us
-        if old is not None:
-            if old and not self.old:
-                self._join_us = min(self._join_us, now_us + self._window())
-            self.old = old
-            self._tries = self._tries if old else 0
-        return True
+        if old and not self.old:
+            self._join_us = min(self._join_us, now_us + self._window())
+        self.old = old
+        self._tries = self._tries if old else 0
 
     def gap(self, now_us: int) -> None:
         """Something is missing, or more scopes are taken: subscribe again, at a bounded rate."""
@@ -122,8 +118,8 @@
             self._asking = None
             wait_us = 1_000 * max(0, min(MOST_WAIT_MS, refused.wait_ms))
             self._join_us = now_us + max(wait_us, self._window())
-            return [Note("control_refused", f"{sender}: {refused.reason[:40]}")]
-        return self.lose(f"refuses ({refused.reason[:40]})", now_us) if sender == self.peer else None
+            return [Note("control_refused", f"{sender}: {refused.reason[:40]!r}")]
+        return self.lose(f"refuses ({refused.reason[:40]!r})", now_us) if sender == self.peer else None
 
     def silent(self, peer: str, why: str, now_us: int) -> list[Effect]:
         """A link to it failed, or it leaves."""
