--- a/oatlink/fleet/control/checks.py
+++ b/oatlink/fleet/control/checks.py
@@ -14,14 +14,16 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-def mistake_of_scope(scope: str, everything: Entries) -> str:
+def mistake_of_scope(scope: str, everything: Entries, anew: bool = False) -> str:
     """Why nobody may offer a change there, '' if one may; `everything` is the state of `all`.
 
+    `anew`: to begin its history again, which must be possible without that state, too.
+
     Threat: a mistyped scope, whose change would be agreed, be in force nowhere and look as if it were.
     """
     if not is_scope(scope) or is_names(scope):
         return f"{scope[:64]!r} is no scope for changes"
-    if scope != ALL and key_of(scope) not in everything:
+    if scope != ALL and not anew and key_of(scope) not in everything:
         return f"{scope} does not exist: {ALL} has no {key_of(scope)}"
     return ""
 
--- a/oatlink/fleet/control/log.py
+++ b/oatlink/fleet/control/log.py
@@ -19,7 +19,7 @@
   and drops what sources that have not heard of it still agree on in the old one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 from oatlink.fleet.control.checks import Checker, mistake_of_base, mistake_of_change, mistake_of_state
@@ -51,6 +51,7 @@
         self.scope, self.table = scope, Table(scope)
         self.due_us = 0  # a new one looks where it is
         self.behind = False  # only a snapshot helps; see `gather`
+        self.caught_up = False  # has seen its next slot open, and no later one since
         self.lost = False  # the keepers have less than this source
         self._source, self._incarnation, self._sources = source, incarnation, sources
         self._checker, self._applied = checker, applied
@@ -108,6 +109,11 @@
         self.look(now_us)
         return True
 
+    def restore(self, head: Head, entries: Mapping[str, bytes]) -> None:
+        """What was on disk, before anything else."""
+        self.table.begin(head.epoch)
+        self.table.entries, self.table.head = dict(entries), head
+
     def look(self, now_us: int) -> None:
         """The next slot is to be read: it may be taken already."""
         if not self.behind:
@@ -127,7 +133,8 @@
 
         `base`: the version that it was made for, -1 for any. `done` gets the version, or 0 and why not.
         """
-        mistake = mistake_of_change(entries) or (LOST if self.lost and not anew else "")
+        mistake = mistake_of_change(entries) if entries or not anew else ""
+        mistake = mistake or (LOST if self.lost and not anew else "")
         if mistake:
             return done(0, mistake)
         epoch = max(self.head.epoch, self._anew) + 1 if anew else -1
@@ -210,13 +217,14 @@
         if slot.epoch == epoch and slot.version > version:
             if version == 1 and epoch != self.head.epoch:
                 self._anew = epoch
-            self.behind = True
+            self.behind, self.caught_up = True, False
             return self._fail("unknown: too far behind to see what came of it", under_way=True)
         if held == (epoch, version - SLOTS) or (version <= SLOTS and (not slot.version or slot.epoch < epoch)):
             if version == 1 and self._anew > self.head.epoch and self._anew == epoch and not self._line.raising:
                 self._anew, self._look = 0, True  # told wrong: there is no such epoch
                 return []
-            self._open, self._open_us, self.lost = (epoch, version, fence), self._waiting_us, False
+            self._open, self._open_us = (epoch, version, fence), self._waiting_us
+            self.lost, self.caught_up = False, True
             return []
         if self.lost:
             return self._fail(LOST)
--- a/oatlink/fleet/control/members.py
+++ b/oatlink/fleet/control/members.py
@@ -15,14 +15,13 @@
 
 import msgspec
 
-from oatlink.fleet.control.names import ALIVE_US, Known, Named, Names, Zone, entry_of
+from oatlink.fleet.control.names import ALIVE_US, Known, Named, Names, entry_of
 from oatlink.fleet.control.scopes import is_scope, names_of
 from oatlink.fleet.control.seats import as_relay, order
 from oatlink.fleet.messages import NEVER_US
 from oatlink.fleet.messages.control import MOST_CHANGE, MOST_ENTRY_KEY, Entry, Join
 
 GATHER_US = 200_000
-AGAIN_US = 1_000_000  # after a change that came to nothing for another reason than a lost race
 GOING = 10  # names a second and zone
 SWEEP_US = 1_000_000
 CUT_PART, CUT_LEAST = 4, 3  # more than a quarter of a zone, and more than three
@@ -60,6 +59,11 @@
         self._waiting: dict[str, Waiting] = {}
         self._zone_of: dict[str, str] = {}  # in which zone somebody's wish is
 
+    @property
+    def waiting(self) -> int:
+        """How many wait for a name."""
+        return len(self._zone_of)
+
     # ---- Who comes and goes ----
 
     def wants(self, name: str, join: Join, reach: bool, now_us: int) -> str:
@@ -130,10 +134,10 @@
         self._time()
         return found
 
-    def change(self, scope: str, reach: bool, now_us: int) -> tuple[tuple[Entry, ...], dict[str, str]]:
+    def change(self, scope: str, reach: bool, now_us: int) -> tuple[tuple[Entry, ...], dict[str, tuple[int, str]]]:
         """The change that follows from the state now, and who is refused by it. Nothing: there is nothing to offer."""
         zone, waiting = self.names.zone(scope), self._waiting[scope]
-        refused: dict[str, str] = {}
+        refused: dict[str, tuple[int, str]] = {}
         found: dict[str, Entry] = {name: Entry(name) for name in list(zone.stale)[: MOST_CHANGE // 256]}
         left = MOST_CHANGE - MARGIN - sum(len(name.encode()) + 8 for name in found)
         relays = {name: serves for name, serves in zone.relays.items() if self.names.is_alive(name, now_us)}
@@ -142,7 +146,7 @@
             wish = waiting.wishes[name]
             why = self._refused(name, wish.join, reach, now_us)
             if why:
-                refused[name] = why
+                refused[name] = wish.join.incarnation, why
             elif self._agreed(name, wish.join) is None:
                 size += 1
                 relays.pop(name, None)
@@ -159,12 +163,12 @@
         waiting.under_way = bool(found)
         return tuple(found.values()), refused
 
-    def done(self, scope: str, version: int, raced: bool, now_us: int) -> None:
-        """What came of a change that was offered; 0: nothing, it is made anew from the state now."""
+    def done(self, scope: str, again_us: int) -> None:
+        """The change under way has come to an end; where more waits it is made from the state then, at `again_us`."""
         waiting = self._waiting[scope]
         waiting.under_way = False
         if waiting.wishes or self.names.zone(scope).stale:
-            self._plan(waiting, now_us + (0 if version or raced else AGAIN_US))
+            self._plan(waiting, again_us)
 
     def came(self, scope: str, now_us: int) -> list[tuple[str, Wish]]:
         """Who of those that wait has its name now; call it after each version of the scope. Costs as much as wait."""
@@ -176,12 +180,12 @@
             self._drop(name)
         return found
 
-    def tired(self, before_us: int, now_us: int) -> list[tuple[str, Wish]]:
-        """Who has waited since `before_us` without an answer. Those that have waited for `WISH_US` are let go."""
+    def tired(self, before_us: int, fresh: bool, now_us: int) -> list[tuple[str, Wish]]:
+        """Who waits since `before_us` without an answer, unless `fresh`; who has waited for `WISH_US` is let go."""
         found = []
         for scope in [scope for scope, one in self._waiting.items() if one.wishes]:
             for name, wish in list(self._waiting[scope].wishes.items()):
-                if wish.asked_us <= before_us and not wish.answered:
+                if wish.asked_us <= before_us and not wish.answered and not fresh:
                     wish.answered = True
                     found.append((name, wish))
                 if now_us - wish.asked_us >= WISH_US:
@@ -222,11 +226,6 @@
         self.due_us = min((one.due_us for one in self._waiting.values() if not one.under_way), default=NEVER_US)
 
 
-def silent_part(zone: Zone) -> float:
-    """How much of a zone is silent."""
-    return len(zone.silent) / len(zone) if len(zone) else 0.0
-
-
 def _is_sound(name: str, join: Join) -> bool:
     """Threat: a name or an address that no entry holds, a place for more than there are."""
     return (
--- a/oatlink/fleet/control/scopes.py
+++ b/oatlink/fleet/control/scopes.py
@@ -1,8 +1,8 @@
 """Names of scopes, and which of them a process takes. No state.
 
 `all`, `region/R`, `zone/R/Z` and `group/G` are for readers; `names/R/Z` (who is there) is for sources alone. A scope
-for readers exists where `all` has an entry `key_of(scope)`: `group/G`, whatever its value, `readers/R` and `readers/R/Z`
-with the number of readers there, in digits.
+for readers exists where `all` has an entry `key_of(scope)`: `group/G`, whatever its value, `readers/R` and
+`readers/R/Z` with the number of readers there, in digits.
 """
 
 from oatlink.fleet.messages.control import MOST_SCOPE, MOST_SCOPES
@@ -36,7 +36,7 @@
 
 
 def key_of(scope: str) -> str:
-    """The key in `all` that says that a scope for readers exists; at a region's or zone's, how many readers are there."""
+    """The key in `all` that says that a scope for readers exists; a region's or zone's tells how many are there."""
     kind, _, rest = scope.partition("/")
     return scope if kind == "group" else f"readers/{rest}"
 
--- /dev/null
+++ b/tests/fleet/control/test_log.py
@@ -0,0 +1,138 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oatlink.fleet.control.slots import SLOTS
+from oatlink.fleet.messages import control as c
+from tests.fleet.control.source_world import MS, SECOND, World
+
+SHORT = settings(max_examples=25, deadline=None, derandomize=True)
+
+
+def raced(world: World, offers: int, steps: int) -> dict[int, tuple[str, c.Entry]]:
+    """Offers at all sources at once, crashes and cuts between them; then all is well for a while."""
+    tickets = {}
+    for ticket in range(1, offers + 1):
+        entry = c.Entry(f"k{ticket % 3}", b"%d" % ticket)
+        name = world.rng.choice(sorted(world.cores))
+        tickets[ticket] = "all", entry
+        world.offer(name, ticket, "all", (entry.key, entry.value))
+        world.run(world.rng.randrange(steps * MS))
+        if world.rng.random() < 0.15:
+            name = world.rng.choice(sorted(world.cores))
+            world.crash(name)
+            world.run(world.rng.randrange(steps * MS))
+            world.start(name)
+        if world.rng.random() < 0.15:
+            world.rng.choice((world.cut, world.deaf)).add(world.rng.choice(sorted(world.cores)))
+        elif world.rng.random() < 0.3:
+            world.cut.clear()
+            world.deaf.clear()
+    world.cut.clear()
+    world.deaf.clear()
+    world.unknown = world.loss = 0.0
+    world.run(50 * SECOND)
+    heads = {core.head("all") for core in world.cores.values()}
+    assert len(heads) == 1, f"not in step: {heads}"
+    return tickets
+
+
+@SHORT
+@given(seed=st.integers(0, 10**6), count=st.integers(1, 3), unknown=st.sampled_from((0.0, 0.2, 0.6)))
+def test_sources_that_race_agree_on_each_version(seed: int, count: int, unknown: float) -> None:
+    world = World(seed, count, unknown, loss=0.2).run(50 * MS)
+    tickets = raced(world, 20, 300)
+    world.judge(tickets)
+
+
+def test_slots_are_used_again_when_most_have_their_version() -> None:
+    world = World(1, 3).run(50 * MS)
+    world.cut |= {"s1", "s2"}
+    for ticket in range(SLOTS + 1):
+        world.offer("s0", ticket, "all", ("k", b"%d" % ticket))
+        world.run(30 * MS)
+    assert world.cores["s0"].head("all").version == SLOTS
+    world.run(12 * SECOND)
+    assert world.replied[SLOTS].startswith("refused: not agreed")
+    world.cut.clear()
+    world.run(3 * SECOND)
+    world.offer("s0", 99, "all", ("k", b"99"))
+    world.run(SECOND)
+    assert world.replied[99] == f"all is at version {SLOTS + 1}"
+
+
+def test_one_that_is_further_behind_than_slots_takes_a_snapshot_while_changes_go_on() -> None:
+    world = World(2, 3).run(50 * MS)
+    world.crash("s2")
+    for ticket in range(80):  # more than the others keep
+        world.offer("s0", ticket, "all", (f"k{ticket % 20}", b"%04000d" % ticket))
+        world.run(100 * MS)
+    world.start("s2")
+    for ticket in range(80, 90):
+        world.offer("s0", ticket, "all", (f"k{ticket}", b"x"))
+        world.run(20 * MS)
+    world.run(10 * SECOND)
+    assert any(move.whole for who, move in world.moves if who == "s2/2")
+    assert world.cores["s2"].head("all").version == 90
+    world.judge({})
+
+
+def test_a_change_is_checked_again_after_a_lost_race() -> None:
+    world = World(3, 2).run(50 * MS)
+    world.offer("s0", 1, "all", ("k", b"1"), base=0)
+    world.offer("s1", 2, "all", ("k", b"2"), base=0)
+    world.offer("s1", 3, "all", ("k", b"3"))
+    world.run(SECOND)
+    assert sorted(world.replied.values())[0] == "all is at version 1"
+    assert sum(text == "refused: made for version 0, now 1" for text in world.replied.values()) == 1
+    assert len(world.written) == 2
+
+
+@pytest.mark.parametrize(
+    "scope, entry, base, why",
+    [
+        ("all", ("k", b"bad"), -1, "bad is bad"),
+        ("all", ("k", b"x" * 5_000), -1, "a value 4096 at most"),
+        ("all", ("", b"x"), -1, "a key has 1 to 128 bytes"),
+        ("all", ("k\n", b"x"), -1, "a key is printable"),
+        ("all", ("readers/r", b"9"), -1, "what sources count"),
+        ("zone/r/none", ("k", b"x"), -1, "does not exist"),
+        ("names/r/z", ("k", b"x"), -1, "no scope for changes"),
+        ("zone/r", ("k", b"x"), -1, "no scope for changes"),
+        ("all", ("k", b"x"), 7, "made for version 7, now 0"),
+    ],
+)
+def test_a_bad_change_is_refused_and_changes_nothing(scope: str, entry: tuple[str, bytes], base: int, why: str) -> None:
+    world = World(4, 1).run(50 * MS)
+    world.offer("s0", 1, scope, entry, base=base)
+    world.run(SECOND)
+    assert world.replied[1].startswith("refused: ") and why in world.replied[1]
+    assert not world.written
+
+
+def test_a_change_that_is_too_long_or_empty_or_doubled_is_refused() -> None:
+    world = World(5, 1).run(50 * MS)
+    world.offer("s0", 1, "all", ("a", b"x" * 4_000), ("b", b"x" * 4_000))
+    world.offer("s0", 2, "all")
+    world.offer("s0", 3, "all", ("a", b"x"), ("a", b"y"))
+    assert all(text.startswith("refused") for text in world.replied.values()) and len(world.replied) == 3
+
+
+def test_lost_registers_take_nothing_until_the_epoch_is_raised() -> None:
+    world = World(6, 3).run(50 * MS)
+    for ticket in range(SLOTS + 3):
+        world.offer("s0", ticket, "all", (f"k{ticket}", b"x"))
+        world.run(100 * MS)
+    world.kept.clear()
+    world.offer("s1", 100, "all", ("k", b"y"))
+    world.run(12 * SECOND)
+    assert "raise the epoch" in world.replied[100]
+    core = world.cores["s1"]
+    world.carry("s1", core.begin_epoch(101, "all", (c.Entry("new", b"z"),), world.now))
+    world.run(3 * SECOND)
+    assert world.replied[101] == "all is at version 1"
+    assert {one.head("all") for one in world.cores.values()} == {c.Head("all", 1, 1)}
+    world.offer("s2", 102, "all", ("k", b"y"))
+    world.run(SECOND)
+    assert dict(world.cores["s0"].entries("all")) == {"new": b"z", "k": b"y"}
+    world.judge({})
