--- a/oatlink/fleet/control/log.py
+++ b/oatlink/fleet/control/log.py
@@ -24,7 +24,7 @@
 
 from oatlink.fleet.control.checks import Checker, mistake_of_base, mistake_of_change, mistake_of_state
 from oatlink.fleet.control.offers import Done, Line, Offer
-from oatlink.fleet.control.slots import SLOTS, Slot, decoded, encoded, key_of_slot, scope_of_slot
+from oatlink.fleet.control.slots import SLOTS, Slot, decoded, encoded, key_of_slot, reading, scope_of_slot
 from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages import Answer, Change, Effect, Note, Read
 from oatlink.fleet.messages.control import Delta, Entry, Head, Page
@@ -208,28 +208,26 @@
             self._look = True
             self._again_us = self._waiting_us + LOST_US
             return [Note("control_slot_bad", f"{self.scope} {version}: {value[:32].hex()}")]
-        held = slot.epoch, slot.version
-        if held == (epoch, version) or (slot.epoch > epoch and slot.version == 1):
+        how = reading(epoch, version, slot)
+        if how in ("taken", "begun"):
             return self._agreed(slot)
-        if slot.epoch > epoch:
+        if how == "later":
             self._anew, self._look = slot.epoch, True
             return self._fail(f"epoch {slot.epoch} was begun meanwhile", under_way=True)
-        if slot.epoch == epoch and slot.version > version:
-            if version == 1 and epoch != self.head.epoch:
-                self._anew = epoch
+        if how == "behind":
+            self._anew = max(self._anew, epoch)
             self.behind, self.caught_up = True, False
             return self._fail("unknown: too far behind to see what came of it", under_way=True)
-        if held == (epoch, version - SLOTS) or (version <= SLOTS and (not slot.version or slot.epoch < epoch)):
-            if version == 1 and self._anew > self.head.epoch and self._anew == epoch and not self._line.raising:
-                self._anew, self._look = 0, True  # told wrong: there is no such epoch
-                return []
-            self._open, self._open_us = (epoch, version, fence), self._waiting_us
-            self.lost, self.caught_up = False, True
+        if how == "lost":
+            noted, self.lost = self.lost, True
+            note = Note("control_slots_lost", f"{self.scope} {version}: its slot holds {slot.epoch}.{slot.version}")
+            return ([] if noted else [note]) + self._fail(("unknown: " if self._line.tried else "") + LOST)
+        if epoch > self.head.epoch and not self._line.raising:
+            self._anew, self._look = 0, True  # told wrong: there is no such epoch
             return []
-        if self.lost:
-            return self._fail(LOST)
-        self.lost = True
-        return [Note("control_slots_lost", f"{self.scope} {version}: its slot holds {held}"), *self._fail(LOST)]
+        self._open, self._open_us = (epoch, version, fence), self._waiting_us
+        self.lost, self.caught_up = False, True
+        return []
 
     def _agreed(self, slot: Slot) -> list[Effect]:
         """The slot holds the target, or the first version of a later epoch."""
--- a/oatlink/fleet/control/members.py
+++ b/oatlink/fleet/control/members.py
@@ -34,11 +34,12 @@
 
 
 class Wish(msgspec.Struct):
-    """Somebody who wants a name. `answered`: it has its seat already."""
+    """Somebody who wants a name. `answered`: it has its seat already; `serves`: as what it was offered last."""
 
     join: Join
     asked_us: int
     answered: bool = False
+    serves: int = 0
 
 
 class Waiting(msgspec.Struct):
@@ -150,12 +151,14 @@
             elif self._agreed(name, wish.join) is None:
                 size += 1
                 relays.pop(name, None)
-                serves = wish.join.relays if as_relay(wish.join.relays, relays.values(), size) else 0
+                # Threat: one that has a seat below a relay and becomes one itself, so that two may hear one another.
+                offered = 0 if wish.answered else wish.join.relays
+                serves = offered if as_relay(offered, relays.values(), size) else 0
                 entry = entry_of(name, Named(wish.join.incarnation, wish.join.address, serves))
                 left -= len(entry.key.encode()) + len(entry.value) + 8
                 if left < 0:
                     break
-                found[name] = entry
+                found[name], wish.serves = entry, serves
                 if serves:
                     relays[name] = serves
         for name in refused:
--- a/oatlink/fleet/control/roster.py
+++ b/oatlink/fleet/control/roster.py
@@ -7,7 +7,8 @@
 saves work and the name can wait. What one source hears of processes it tells the others once, as it came.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
 
 from oatlink.fleet.control.bounds import MOST_WAIT_MS
 from oatlink.fleet.control.members import SWEEP_US, Members
@@ -15,6 +16,7 @@
 from oatlink.fleet.control.peers import Peers
 from oatlink.fleet.control.scopes import ALL, key_of, names_of, zone_of
 from oatlink.fleet.control.seats import MOST_WAIT_US, Seats
+from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.effects import Effect, Note, Tell
 
@@ -36,14 +38,13 @@
         region: str,
         incarnation: int,
         peers: Peers,
-        head: Callable[[str], c.Head],
-        counts: Callable[[], dict[str, bytes]],
+        tables: Mapping[str, Table],
         offer: OfferOwn,
         seed: int,
         now_us: int,
     ) -> None:
         self.members = Members(seed)
-        self._incarnation, self._peers, self._head, self._counts, self._offer = incarnation, peers, head, counts, offer
+        self._incarnation, self._peers, self._tables, self._offer = incarnation, peers, tables, offer
         self._seats = Seats(self.members.names, place.name, region, (place, *peers.others), seed, now_us)
         self._sweep_us = now_us + SWEEP_US
         self._count_us, self._counting = now_us, False
@@ -53,7 +54,7 @@
         """When to call `tick` next."""
         return min(self.members.due_us, self._sweep_us)
 
-    def rows(self, now_us: int) -> list[tuple[str, str]]:
+    def rows(self) -> list[tuple[str, str]]:
         """For operators."""
         zones = self.members.names.zones
         return [
@@ -120,14 +121,14 @@
         if now_us >= self._sweep_us:
             self._sweep_us = now_us + SWEEP_US
             for name, wish in self.members.tired(now_us - UNNAMED_US, fresh, now_us):
-                effects += self._seat(name, wish.join, now_us)
+                effects += self._seat(name, wish.join, now_us, may_relay=wish.serves > 0)
             if self._peers.leads(now_us):
                 self.members.sweep(self._peers.reach(now_us), now_us)
                 effects += self._count(now_us)
         return effects
 
     def _change(self, scope: str, now_us: int) -> list[Effect]:
-        base = self._head(scope).version
+        base = self._tables[scope].head.version
         entries, refused = self.members.change(scope, self._peers.reach(now_us), now_us)
         effects: list[Effect] = []
         for name, (incarnation, why) in refused.items():
@@ -135,7 +136,7 @@
 
         def done(version: int, why: str) -> list[Effect]:
             # A lost race is run again at once: each round of it one source gets through.
-            raced = not version and self._head(scope).version != base
+            raced = not version and self._tables[scope].head.version != base
             self.members.done(scope, now_us if version or raced else now_us + AGAIN_US)
             return []
 
@@ -151,7 +152,7 @@
             found[key_of(scope.replace("names/", "zone/", 1))] = len(zone)
             region_key = key_of(f"region/{region}")
             found[region_key] = found.get(region_key, 0) + len(zone)
-        now = self._counts()
+        now = self._tables[ALL].entries
         late = now_us >= self._count_us
         entries = [c.Entry(key, b"%d" % many) for key, many in found.items() if key not in now or late]
         entries = [one for one in entries if now.get(one.key) != one.value]
@@ -167,12 +168,13 @@
 
     # ---- Answers ----
 
-    def _seat(self, name: str, join: c.Join, now_us: int) -> list[Effect]:
+    def _seat(self, name: str, join: c.Join, now_us: int, may_relay: bool = False) -> list[Effect]:
         wait_us = self._seats.pace(now_us)
         if wait_us is None:
             return self._refuse(name, join.incarnation, "full", now_us)
         scope = names_of(join.region, join.zone)
-        upstream, spare = self._seats.place(name, scope, lambda one: self._peers.is_there(one, now_us), now_us)
+        there = partial(self._peers.is_there, now_us=now_us)
+        upstream, spare = self._seats.place(name, scope, there, now_us, may_relay)
         return [Tell(name, c.Seat(join.incarnation, upstream, spare, wait_us // 1_000))]
 
     def _refuse(self, name: str, incarnation: int, why: str, now_us: int) -> list[Effect]:
--- a/oatlink/fleet/control/scopes.py
+++ b/oatlink/fleet/control/scopes.py
@@ -8,6 +8,7 @@
 from oatlink.fleet.messages.control import MOST_SCOPE, MOST_SCOPES
 
 ALL = "all"
+COUNTS = "readers/"  # keys in `all` that sources alone write
 _PARTS = {"region": 1, "zone": 2, "group": 1, "names": 2}
 
 
@@ -38,7 +39,7 @@
 def key_of(scope: str) -> str:
     """The key in `all` that says that a scope for readers exists; a region's or zone's tells how many are there."""
     kind, _, rest = scope.partition("/")
-    return scope if kind == "group" else f"readers/{rest}"
+    return scope if kind == "group" else f"{COUNTS}{rest}"
 
 
 def scope_of(key: str) -> str:
--- a/oatlink/fleet/control/seats.py
+++ b/oatlink/fleet/control/seats.py
@@ -74,8 +74,7 @@
 
     def reports(self, relay: str, children: int) -> None:
         """How many a relay has below it now."""
-        one = self._names.get(relay)
-        if one is not None and one.named.serves > 0:
+        if self._is_relay(relay):
             self._loads.setdefault(relay, _Load()).children = max(0, children)
 
     def lost(self, asker: str, upstream: str, now_us: int) -> None:
@@ -86,8 +85,8 @@
         self._lost.move_to_end(asker)
         if len(self._lost) > MOST_LOST:
             self._lost.popitem(last=False)
-        load = self._loads.get(upstream)
-        if load is not None:
+        if self._is_relay(upstream):
+            load = self._loads.setdefault(upstream, _Load())
             load.lost_by = {name: us for name, us in load.lost_by.items() if now_us - us < LOST_US}
             load.lost_by[asker] = now_us
             if len(load.lost_by) >= WITNESSES:
@@ -104,13 +103,17 @@
         self._next_us = turn_us + 1_000_000 // A_SECOND
         return turn_us - now_us
 
-    def place(self, asker: str, scope: str, is_there: Callable[[str], bool], now_us: int) -> tuple[Place, Place]:
-        """Upstream and spare for a process of this zone. They differ, unless there is but one source and no relay."""
+    def place(
+        self, asker: str, scope: str, is_there: Callable[[str], bool], now_us: int, may_relay: bool = False
+    ) -> tuple[Place, Place]:
+        """Upstream and spare for a process of this zone. They differ, unless there is but one source and no relay.
+
+        `may_relay`: it may be about to become a relay, and sits as one.
+        """
         not_again, until_us = self._lost.get(asker, ("", 0))
         shunned = not_again if now_us < until_us else ""
-        known = self._names.get(asker)
         found: list[str] = []
-        if known is None or known.named.serves == 0:
+        if not may_relay and not self._is_relay(asker):
             region, _ = zone_of(scope)
             for near in (scope, *self._near(scope, region)):
                 found += self._relays(asker, near, shunned, now_us)[: 2 - len(found)]
@@ -119,8 +122,9 @@
             found.sort(key=self._part)  # the less loaded first
         if len(found) < 2:
             found += self._choose_sources(asker, scope, shunned, is_there)[: 2 - len(found)]
-        places = [self._taken(name) for name in found]
-        return places[0], places[-1]
+        if found[0] in self._loads:
+            self._loads[found[0]].children += 1
+        return self._place_of(found[0]), self._place_of(found[-1])
 
     def _relays(self, asker: str, scope: str, shunned: str, now_us: int) -> list[str]:
         """Relays of a zone that may be given, the first choice first. Costs as much as the zone has relays."""
@@ -159,14 +163,17 @@
         self._loads.pop(name, None)
         self._lost.pop(name, None)
 
+    def _is_relay(self, name: str) -> bool:
+        one = self._names.get(name)
+        return one is not None and one.named.serves > 0
+
     def _part(self, name: str) -> float:
         one = self._names.get(name)
         serves = one.named.serves if one is not None else 1
         return self._loads[name].children / max(1, serves)
 
-    def _taken(self, name: str) -> Place:
+    def _place_of(self, name: str) -> Place:
         if name in self._sources:
             return self._sources[name]
-        self._loads[name].children += 1
         one = self._names.get(name)
         return Place(name, one.named.address if one is not None else "")
--- a/oatlink/fleet/control/slots.py
+++ b/oatlink/fleet/control/slots.py
@@ -37,6 +37,24 @@
     return _encoder.encode(slot)
 
 
+def reading(epoch: int, version: int, slot: Slot) -> str:
+    """What the slot of this version says of it.
+
+    taken: it holds it; begun: it holds the first version of a later epoch; later: of a later epoch another one; behind:
+    a later version of this epoch, so this one is not in the registers any more; open: only what may be written over;
+    lost: less than that, so the keepers have lost what they agreed on.
+    """
+    if (slot.epoch, slot.version) == (epoch, version):
+        return "taken"
+    if slot.epoch > epoch:
+        return "begun" if slot.version == 1 else "later"
+    if slot.epoch == epoch and slot.version > version:
+        return "behind"
+    if version <= SLOTS:
+        return "open"  # nothing of this epoch was in it yet
+    return "open" if (slot.epoch, slot.version) == (epoch, version - SLOTS) else "lost"
+
+
 def decoded(value: bytes) -> Slot | None:
     """What lies in a register; version 0 where nothing does, None where it is no slot."""
     if not value:
