Stream of control: tests of readers and relays in a simulated world, and what they found

Cause: cores without a check. Found and mended: scopes of one subscription pushed one another out of a relay; a scope that nobody takes any more left its old sum at the source; a report now and then came at once after one on news; a seat without a spare was dropped.

--- a/oatlink/fleet/control/bounds.py
+++ b/oatlink/fleet/control/bounds.py
@@ -15,6 +15,7 @@
 MOST_DELTAS = 256  # in one word
 MOST_READERS = 65_536  # below one child: 18 times the size
 MOST_WAIT_MS = 600_000
+_PARTS = {"region": 1, "zone": 2, "group": 1, "names": 2}  # of a scope's name, behind its kind
 
 
 def in_range(*numbers: int) -> bool:
@@ -33,11 +34,11 @@
 
 
 def is_scope(text: str) -> bool:
-    """Whether a reader may ask for a scope of this name."""
-    kind, _, rest = text.partition("/")
-    parts = {"all": 0, "region": 1, "zone": 2, "group": 1}.get(kind, -1)
-    found = rest.split("/") if rest else []
-    return len(found) == parts and all(found) and len(text.encode("utf-8", "replace")) <= c.MOST_SCOPE
+    """Whether a scope may have this name."""
+    if len(text) > c.MOST_SCOPE or not text.isascii() or not text.isprintable() or " " in text:
+        return False
+    kind, *parts = text.split("/")
+    return text == "all" or (len(parts) == _PARTS.get(kind, -1) and all(parts))
 
 
 def are_heads(heads: tuple[c.Head, ...]) -> bool:
--- a/oatlink/fleet/control/downstream.py
+++ b/oatlink/fleet/control/downstream.py
@@ -41,7 +41,7 @@
 
 
 class Downstream:
-    """`take(scope)`: whether the owner takes that scope, from now on; `age_us(now_us)`: how old the owner's word is.
+    """`take(scopes)`: whether the owner takes all of these, from now on; `age_us(now_us)`: how old its word is.
 
     `covers(scope)`: whether that age speaks of this scope. Threat: one that a relay took a moment ago for a child, and
     has nothing of yet.
@@ -54,7 +54,7 @@
         drops: Drops,
         most: int,
         age_us: Callable[[int], int],
-        take: Callable[[str], bool],
+        take: Callable[[tuple[str, ...]], bool],
         covers: Callable[[str], bool],
         seed: int,
         now_us: int,
@@ -93,7 +93,7 @@
         one = self._children.get(child)
         if one is None and len(self._children) >= self._most:
             return [Tell(child, Refused(message.incarnation, "full", FULL_MS))]
-        if not all([self._take(head.scope) for head in message.heads]):
+        if not self._take(tuple(head.scope for head in message.heads)):
             effects = self.gone(child)
             return [*effects, Tell(child, Refused(message.incarnation, "unknown", FULL_MS))]
         if one is None or one.incarnation != message.incarnation:
--- a/oatlink/fleet/control/reader.py
+++ b/oatlink/fleet/control/reader.py
@@ -47,7 +47,7 @@
         if len(own) > c.MOST_SCOPES:
             raise ValueError(f"{len(own)} scopes, {c.MOST_SCOPES} at most")
         self._place, self._incarnation, self._own = place, incarnation, tuple(own)
-        self._size_key = f"readers/{region}/{zone}"  # in `all`: how many readers the zone has
+        self._size_key = f"scope/zone/{region}/{zone}"  # in `all`: how many processes the zone has, in digits
         self._tables = {scope: Table(scope) for scope in own}
         self._drops = Drops()
         self._age = Age(drift, Random(f"mark/{seed}/{place.name}/{incarnation}").randrange(1 << 40))
@@ -171,18 +171,20 @@
         resume = tuple((scope, *found) for scope, found in under_way if found is not None)
         return c.Subscribe(self._incarnation, heads, resume, self._age.mark(now_us))
 
-    def _take(self, scope: str) -> bool:
-        """A child takes it: so do we, where there is room; a borrowed one that no child takes any more makes room."""
-        if scope in self._tables:
-            return True
-        if len(self._tables) >= c.MOST_SCOPES:
-            unused = [one for one in self._tables if one not in self._own and not self._downstream.feed.takes(one)]
-            if not unused:
-                return False
-            del self._tables[unused[0]]
-        self._tables[scope] = Table(scope)
-        self._hearing.covered.pop(scope, None)
-        self._more = True
+    def _take(self, scopes: tuple[str, ...]) -> bool:
+        """A child takes these: so do we, where there is room; borrowed ones that no child takes any more make room."""
+        new = [one for one in scopes if one not in self._tables]
+        keep = dict.fromkeys((*self._own, *scopes))
+        unused = [one for one in self._tables if one not in keep and not self._downstream.feed.takes(one)]
+        over = len(self._tables) + len(new) - c.MOST_SCOPES
+        if over > len(unused) or any(one.startswith("names/") for one in new):  # names are for sources alone
+            return False
+        for one in unused[: max(0, over)]:
+            del self._tables[one]
+        for one in new:
+            self._tables[one] = Table(one)
+            self._hearing.covered.pop(one, None)
+        self._more = self._more or bool(new)
         return True
 
     def _give_back(self, now_us: int) -> bool:
--- a/oatlink/fleet/control/sums.py
+++ b/oatlink/fleet/control/sums.py
@@ -105,7 +105,7 @@
                 behind, least, named = 1, ours.version if ours.epoch == head.epoch else 0, [self._name]
         for name, one in self._below.items():
             lag = one.lags.get(head.scope)
-            if lag is None:
+            if lag is None or not lag.readers:
                 continue
             readers += lag.readers
             if (lag.head.epoch, lag.head.version) < (head.epoch, head.version):  # it cannot have more than it knows of
@@ -146,6 +146,8 @@
         whole = now_us >= self._round_us
         if whole:
             self._round_us = now_us + REPORT_US + self._draw.randrange(-REPORT_US // 10, REPORT_US // 10)
+        else:
+            self._round_us = max(self._round_us, now_us + LEAST_US)
         self._sent_us, self._news_us = now_us, NEVER_US
-        lags = tuple(one for one in map(self.lag, self._tables) if one.readers)
+        lags = tuple(map(self.lag, self._tables))  # those that nobody takes any more, too: else an old sum would stand
         return Report(incarnation, lags, self.children, self.alive() if whole else (), mark)
--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -103,7 +103,8 @@
         if self._asking is None or sender != self._asking.name or seat.incarnation != self._join.incarnation:
             return False
         self._asking, self._lost = None, ""
-        if not (is_place(seat.upstream) and is_place(seat.spare) and 0 <= seat.wait_ms <= MOST_WAIT_MS):
+        spare = not seat.spare.name or is_place(seat.spare)
+        if not (is_place(seat.upstream) and spare and 0 <= seat.wait_ms <= MOST_WAIT_MS):
             self._join_us = now_us + self._window()
             return False
         self._join_us = now_us + RENEW_US - self._draw.randrange(RENEW_US // 2)
@@ -167,7 +168,7 @@
     def _sit(self, seat: Seat, now_us: int) -> list[Effect]:
         """Take a seat: as it is, where we have none or an old one; else for its spare alone."""
         self._seat, self._seat_us = None, NEVER_US
-        places = [one for one in (seat.upstream, seat.spare) if one.name not in (self._name, self.peer)]
+        places = [one for one in (seat.upstream, seat.spare) if one.name not in ("", self._name, self.peer)]
         effects: list[Effect] = []
         if self.current is None or self.old:
             if not places:
--- a/oatlink/fleet/messages/control.py
+++ b/oatlink/fleet/messages/control.py
@@ -68,7 +68,7 @@
 class Seat(Message, frozen=True, gc=False):
     """A source's answer: whom to subscribe to, whom where that one falls silent, after how long at the earliest.
 
-    `incarnation`: the asker's, so that an answer to the process before it is not taken.
+    `incarnation`: the asker's, so that an answer to the process before it is not taken. A spare without a name is none.
     """
 
     incarnation: int
--- a/tests/fleet/control/reader_world.py
+++ b/tests/fleet/control/reader_world.py
@@ -61,7 +61,7 @@
             Drops(),
             64,
             self.age,
-            self.tables.__contains__,
+            lambda scopes: all(one in self.tables for one in scopes),
             self.tables.__contains__,
             1,
             self.clock(),
@@ -99,7 +99,7 @@
         self.seated += 1
         others = world.sources if join.relays or not relays else relays
         first = self.seated % len(others)
-        spare = others[(first + 1) % len(others)]
+        spare = others[(first + 1) % len(others)] if len(others) > 1 else world.sources[0]
         return c.Seat(join.incarnation, c.Place(others[first], "a"), c.Place(spare, "a"))
 
     def do(self, effects: list[Effect]) -> None:
--- /dev/null
+++ b/tests/fleet/control/test_downstream.py
@@ -0,0 +1,202 @@
+"""What children of a relay get, when, and at which rate; and what their reports come to."""
+
+from collections import Counter
+
+import pytest
+
+from oatlink.fleet.control import downstream as d
+from oatlink.fleet.control import feed as f
+from oatlink.fleet.control.drops import Drops
+from oatlink.fleet.control.sums import LEAST_US, REPORT_US, Sums
+from oatlink.fleet.control.table import Table, size_of
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.messages.effects import Effect, Tell
+
+MS, SECOND = 1_000, 1_000_000
+
+
+class Relay:
+    def __init__(self, most: int = 64, kept: int = 4_000) -> None:
+        self.tables = {"all": Table("all", kept)}
+        self.drops, self.now = Drops(), 0
+        self.sums = Sums("relay", self.tables, ("all",), 1, 0)
+        ours = self.tables.__contains__
+        given = (lambda _: 250_000), (lambda scopes: all(map(ours, scopes))), ours
+        self.down = d.Downstream(self.tables, self.sums, self.drops, most, *given, 1, 0)
+        self.told: list[tuple[int, Tell]] = []
+
+    def add(self, effects: list[Effect]) -> list[Tell]:
+        told = [one for one in effects if isinstance(one, Tell)]
+        self.told += [(self.now, one) for one in told]
+        return told
+
+    def child(self, name: str, version: int = 0, **more: tuple[tuple[str, int, int, str], ...]) -> list[Tell]:
+        word = c.Subscribe(1, (c.Head("all", 0, version),), mark=5, **more)
+        return self.add(self.down.subscribe(name, word, self.now))
+
+    def commit(self, count: int = 1, size: int = 20) -> None:
+        for _ in range(count):
+            version = self.tables["all"].head.version + 1
+            self.tables["all"].apply(c.Delta(0, version, (c.Entry(f"k{version}", bytes([1] * size)),)))
+        self.down.changed("all", self.now)
+        self.add(self.down.tick(self.now))
+
+    def run(self, us: int, alive: bool = True) -> None:
+        end = self.now + us
+        while self.down.due_us <= end:
+            self.now = max(self.now, self.down.due_us)
+            self.add(self.down.tick(self.now))
+            for child in self.down.names() if alive else ():
+                self.report(child)
+        self.now = end
+
+    def report(self, child: str, *lags: c.Lag, incarnation: int = 1, children: int = 0) -> list[Effect]:
+        return self.down.report(child, c.Report(incarnation, lags, children, mark=9), self.now)
+
+    def changes(self, child: str) -> list[tuple[int, int]]:
+        """When which versions were sent."""
+        found = [(at, one.message) for at, one in self.told if one.to == child]
+        return [(at, len(word.deltas)) for at, word in found if isinstance(word, c.Changes)]
+
+
+def test_news_at_once_and_gathered_where_more_comes() -> None:
+    relay = Relay()
+    relay.child("a")
+    relay.run(SECOND)
+    began = relay.now
+    for _ in range(5):
+        relay.commit()
+        relay.run(10 * MS)
+    relay.run(SECOND)
+    first, *rest = relay.changes("a")
+    assert first == (began, 1) and sum(count for _, count in rest) == 4 and len(rest) <= 2  # a beat may fall between
+    assert rest[-1][0] <= began + f.GATHER_US
+
+
+def test_at_most_so_many_children_each_told_each_second_and_who_is_silent_goes() -> None:
+    relay = Relay(most=50)
+    for n in range(50):
+        (first,) = relay.child(f"c{n}")
+        assert first.message == c.Beat(250, (c.Head("all"),), 5, 0)
+    (refused,) = relay.child("one more")
+    assert isinstance(refused.message, c.Refused) and refused.message.reason == "full" and len(relay.down) == 50
+    relay.child("c0")  # subscribed again: no second beat at once, and no second round of beats
+    relay.run(20 * SECOND)
+    beats = [(at, one.to) for at, one in relay.told if isinstance(one.message, c.Beat) and at > 2 * SECOND]
+    assert len(beats) == 50 * 18
+    assert max(Counter(at // (100 * MS) for at, _ in beats).values()) <= 15  # divided over the second
+    (last,) = [one for at, one in relay.told if one.to == "c3"][-1:]
+    assert isinstance(last.message, c.Beat) and last.message.mark == 9
+    relay.run(d.SILENT_US + 2 * SECOND, alive=False)
+    assert len(relay.down) == 0 and not relay.down.feed.takes("all") and relay.sums.children == 0
+
+
+def test_those_behind_share_a_rate_resume_where_they_stopped_and_do_not_keep_news_waiting() -> None:
+    relay = Relay()
+    relay.commit(3_000, 100)
+    relay.child("near", relay.tables["all"].head.version)
+    for n in range(8):
+        relay.child(f"far{n}")
+    relay.run(2 * SECOND)
+    at = relay.now
+    relay.commit()
+    assert relay.changes("near") == [(at, 1)]
+    pages = [one.message for _, one in relay.told if one.to == "far0" and isinstance(one.message, c.Page)]
+    assert pages and not pages[-1].last
+    taken = pages[0]
+    relay.down.gone("far0")
+    relay.child("far0", resume=(("all", 0, taken.first, taken.entries[-1].key),))
+    relay.run(40 * SECOND)
+    spent: Counter[int] = Counter()
+    for when, one in relay.told:
+        if isinstance(one.message, c.Page):
+            spent[when // SECOND] += size_of(one.message.entries)
+    assert max(spent.values()) <= f.RATE + f.BURST and sum(spent.values()) > 8 * 300_000
+    for n in range(8):
+        words = [one.message for _, one in relay.told if one.to == f"far{n}"]
+        reader = Table("all")
+        for word in words:
+            if isinstance(word, c.Page):
+                reader.gather(word)
+            elif isinstance(word, c.Changes):
+                assert all(reader.apply(delta) for delta in word.deltas)
+        assert reader.head == relay.tables["all"].head and reader.entries == relay.tables["all"].entries
+        again = [word.after for word in words if isinstance(word, c.Page)]
+        assert again.count("") == 1, "a snapshot was begun anew"
+
+
+def test_a_child_that_is_ahead_gets_nothing_and_one_that_asks_the_impossible_is_refused() -> None:
+    relay = Relay()
+    relay.commit(5)
+    assert [type(one.message) for one in relay.child("ahead", 9)] == [c.Beat]
+    relay.commit()
+    assert not relay.changes("ahead")
+    odd = (c.Head("all", 0, -1),), (), (c.Head("all"), c.Head("all")), tuple(c.Head(f"group/{n}") for n in range(17))
+    for heads in odd:
+        (told,) = relay.add(relay.down.subscribe("odd", c.Subscribe(1, heads), 0))
+        assert isinstance(told.message, c.Refused) and told.message.reason == "bad"
+    (told,) = relay.add(relay.down.subscribe("odd", c.Subscribe(1, (c.Head("group/none"),)), 0))
+    assert isinstance(told.message, c.Refused) and told.message.reason == "unknown"
+    assert "odd" not in relay.down and relay.drops.counts == {"impossible subscription": 4}
+
+
+LAG = c.Lag(c.Head("all", 0, 5), 10, 4, 2, ("x", "y"))
+
+
+@pytest.mark.parametrize(
+    ("lag", "more"),
+    [
+        (c.Lag(c.Head("all", 0, 5), 10, 4, -1), {}),
+        (c.Lag(c.Head("all", 0, 5), 70_000, 5), {}),
+        (c.Lag(c.Head("all", 0, 5), 1, 4, 2), {}),
+        (c.Lag(c.Head("all", 0, 5), 1, 6), {}),
+        (c.Lag(c.Head("all", 0, 6), 1, 6), {}),
+        (c.Lag(c.Head("group/g", 0, 1), 1, 1), {}),
+        (c.Lag(c.Head("all", 0, 5), 10, 4, 2, ("x",) * 9), {}),
+        (LAG, {"children": -1}),
+        (LAG, {"incarnation": 2}),
+    ],
+)
+def test_a_wrong_report_is_dropped_counted_and_named(lag: c.Lag, more: dict[str, int]) -> None:
+    relay = Relay()
+    relay.commit(5)
+    relay.child("a", 5)
+    assert not relay.report("a", LAG)
+    before = relay.sums.lag("all")
+    assert before == c.Lag(c.Head("all", 0, 5), 11, 4, 2, ("x", "y"))
+    (note,) = relay.report("a", lag, **more)
+    assert "of a" in str(note) and sum(relay.drops.counts.values()) == 1 and relay.sums.lag("all") == before
+
+
+def test_sums_name_who_is_behind_and_hide_nobody_by_an_old_report() -> None:
+    relay = Relay()
+    relay.commit(5)
+    relay.child("a", 5)
+    relay.child("b", 3)
+    assert relay.sums.lag("all") == c.Lag(c.Head("all", 0, 5), 3, 3, 1, ("b",))
+    relay.report("a", LAG, children=9)
+    assert relay.sums.lag("all") == c.Lag(c.Head("all", 0, 5), 12, 3, 3, ("x", "y", "b"))
+    relay.commit()
+    assert relay.sums.lag("all") == c.Lag(c.Head("all", 0, 6), 12, 3, 11, ("x", "y", "a", "b"))  # but ourselves
+    assert relay.sums.against(c.Head("all", 0, 3)).behind == 0 and relay.sums.children == 11
+    for name in ("a", "b"):
+        relay.report(name, c.Lag(c.Head("all", 0, 6), 1, 6))
+    assert relay.sums.lag("all") == c.Lag(c.Head("all", 0, 6), 3, 6) and not relay.sums.report(1, 1, 0).alive
+
+
+def test_reports_go_up_now_and_then_and_after_news_at_a_bounded_rate() -> None:
+    relay, sent = Relay(), []
+    relay.child("a")
+    for now in range(0, 60 * SECOND, 20 * MS):
+        if 20 * SECOND < now < 40 * SECOND:
+            relay.sums.news(now)
+        if now >= relay.sums.due_us:
+            sent.append((now, relay.sums.report(1, 1, now)))
+    assert all(b - a >= LEAST_US - 20 * MS for (a, _), (b, _) in zip(sent, sent[1:], strict=False))
+    quiet = [at for at, _ in sent if at < 20 * SECOND]
+    assert (
+        3 <= len(quiet) <= 6
+        and len(sent) <= 40
+        and all(b - a < 1.2 * REPORT_US for a, b in zip(quiet, quiet[1:], strict=False))
+    )
+    assert ("a", 1) in sent[0][1].alive
--- /dev/null
+++ b/tests/fleet/control/test_reader.py
@@ -0,0 +1,198 @@
+"""Readers and relays before two scripted sources, on links that lose, hold and play again; see `reader_world`."""
+
+import msgspec
+import pytest
+
+from oatlink.fleet.control import downstream, feed
+from oatlink.fleet.control.age import BEHIND_US
+from oatlink.fleet.control.reader import Reader
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.messages.effects import Tell
+from tests.fleet.control.reader_world import DRIFT, MS, SECOND, Process, World
+
+ROUND_US = 40 * SECOND  # a whole window, two sources asked, a snapshot
+
+
+def process(world: World, name: str) -> Process:
+    one = world.nodes[name]
+    assert isinstance(one, Process)
+    return one
+
+
+def started(seed: int, **more: float) -> World:
+    world = World(seed, **more)  # type: ignore[arg-type]
+    world.some(60)
+    world.until_all(ROUND_US)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_through_crashes_cuts_and_bad_links_whole_versions_only_and_afterwards_the_newest(seed: int) -> None:
+    world = World(seed, trouble=0.05, kept=1_500)
+    draw = world.draw
+    for _ in range(60):
+        world.some(draw.randrange(4))
+        names = list(world.nodes)
+        one, other = draw.choice(names), draw.choice(names)
+        what = draw.randrange(8)
+        if what == 0 and one.startswith("re"):
+            world.kill(one)
+        elif what == 1:
+            world.cut = lambda a, b, x=one, y=other: (a, b) == (x, y)  # type: ignore[misc]
+        elif what == 2:
+            world.cut = lambda a, b, x=one: x in (a, b)  # type: ignore[misc]
+        elif what == 3 and one.startswith("re") and world.nodes[one].up:
+            near = process(world, one)
+            near.do(near.core.silent(other, near.clock()))
+        for name in names:
+            if not world.nodes[name].up and draw.random() < 0.3:
+                process(world, name).start()
+        world.steps(2 * SECOND)
+    world.cut, world.trouble = (lambda a, b: False), 0.0
+    for name in world.nodes:
+        if not world.nodes[name].up:
+            process(world, name).start()
+    world.until_all(ROUND_US)
+    world.run(downstream.SILENT_US + 8 * SECOND)  # a child that went elsewhere unheard counts until then
+    assert all(world.source(0).sums.lag(s).behind + world.source(1).sums.lag(s).behind == 0 for s in world.history)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_relay_killed_in_the_middle_of_a_change_costs_less_than_the_stated_bound(seed: int) -> None:
+    world = started(seed)
+    world.run(2 * SECOND)
+    upstreams = {one.core.rows(0)[0][1].split("upstream ")[1].split(",")[0] for one in world.processes()[2:]}
+    world.commit("all", c.Entry("urgent", b"1"))
+    world.run(2 * MS)  # half of it may be on the way
+    world.kill(sorted(upstreams)[0])
+    world.commit("all", c.Entry("urgent", b"2"))
+    assert world.until_all(BEHIND_US) <= BEHIND_US
+
+
+def test_a_region_cut_off_for_an_hour_goes_on_says_its_age_and_comes_back_without_a_herd() -> None:
+    world = started(1, readers=6)
+    state = {one.name: dict(one.core.entries("all")) for one in world.processes()}
+    world.cut = lambda a, b: a.startswith("source") or b.startswith("source")
+    began = world.now
+    for _ in range(60):
+        world.some(10)
+        world.run(60 * SECOND)
+        for one in world.processes():
+            assert one.age() >= world.now - began and "behind" in one.core.rows(one.clock())[0][1]
+            assert one.age() <= (world.now - began) * (1 + 4 * DRIFT) + 3 * SECOND
+    assert all(dict(one.core.entries("all")) == state[one.name] for one in world.processes())
+    quiet = sum(count for (name, _), count in world.told.items() if name == "reader-0") / (world.now / SECOND)
+    assert quiet < 1  # a report each 5 s, a question each 17 s
+    world.cut, healed = (lambda a, b: False), world.now // SECOND
+    world.joins.clear()
+    world.until_all(ROUND_US)
+    assert max(world.joins.values()) <= len(world.processes()) / 2
+    worst = max(count for (name, second), count in world.told.items() if second >= healed and "source" in name)
+    assert worst <= 60  # words of one source in one second: beats of 8 children, 600 changes by pages of 8 KB
+    assert not any("behind" in one.core.rows(one.clock())[0][1] for one in world.processes())
+
+
+def test_an_old_stream_played_again_changes_nothing() -> None:
+    world = started(2)
+    world.some(100)
+    world.until_all(ROUND_US)
+    old = [one for one in world.tape if one[1].startswith("re")]
+    world.cut = lambda a, b: True
+    world.run(20 * SECOND)
+    for name in ("reader-0", "relay-0"):
+        one, node = process(world, name).core, process(world, name)
+        before = one.rows(node.clock())[0][1].split(", upstream")[0], [one.head(s) for s in node.scopes()]
+        for sender, to, message in old:
+            if to == name or sender.startswith("source"):
+                node.take(sender, message)
+        assert [one.head(s) for s in node.scopes()] == before[1]
+        assert one.rows(node.clock())[0][1].split(", upstream")[0] == before[0] and "behind" in before[0]
+        assert "dropped nothing" not in one.rows(node.clock())[0][1]
+
+
+def test_a_link_that_holds_words_longer_and_longer_makes_nobody_younger() -> None:
+    world = started(3)
+    began = world.now
+    world.hold_us = lambda a, b: (world.now - began) // 3 if a.startswith("source") else 0
+    for _ in range(120):
+        world.some()
+        world.steps(500 * MS)  # the world's judge looks at each age
+    assert any(one.age() > BEHIND_US for one in world.processes())
+
+
+def test_laggards_are_known_at_the_source_by_name_and_number() -> None:
+    world = started(4, groups=False)
+    deaf = "reader-2"
+    world.cut = lambda a, b: b == deaf  # it reports, and hears nothing
+    world.commit("all", c.Entry("a", b"1"))
+    world.run(4 * SECOND)
+    lags = [world.source(n).sums.lag("all") for n in (0, 1)]
+    assert sum(one.readers for one in lags) >= 6
+    assert [name for one in lags for name in one.named] == [deaf] and sum(one.behind for one in lags) == 1
+    world.cut = lambda a, b: False
+    world.until_all(ROUND_US)
+    world.run(7 * SECOND)
+    lags = [world.source(n).sums.lag("all") for n in (0, 1)]
+    assert all(one.behind == 0 and one.least == one.head.version for one in lags)
+
+
+def test_relays_that_hear_each_other_and_no_source_find_back() -> None:
+    world = started(5, relays=3, readers=3)
+    world.cut = lambda a, b: "source" in a + b
+    relays = [process(world, f"relay-{n}") for n in range(3)]
+    for n, one in enumerate(relays):  # as if a source had seated them on one another, in a ring
+        up = one.core._upstream
+        up.current, up.spare, up._heard_us = c.Place(f"relay-{(n + 1) % 3}", "a"), None, one.clock()
+        up.gap(one.clock())
+        one.known[up.peer] = None
+        one.wake()
+    world.run(20 * SECOND)
+    assert all(one.age() > 15 * SECOND for one in relays)
+    world.cut = lambda a, b: False
+    world.some(5)
+    world.until_all(ROUND_US)
+
+
+def test_a_child_that_asks_for_a_scope_that_is_none_does_not_take_the_upstream_from_its_relay() -> None:
+    world = started(6)
+    relay = process(world, "relay-0")
+    for n in range(40):
+        relay.take(f"odd-{n}", c.Subscribe(1, (c.Head(f"group/none-{n}"),)))
+        relay.take(f"odd-{n}", c.Leave(1))
+        world.run(200 * MS)
+    assert relay.core._upstream.peer and len(relay.core._tables) <= c.MOST_SCOPES
+    relay.take("odd", c.Subscribe(1, tuple(c.Head(f"group/many-{n}") for n in range(16))))
+    assert "odd" not in relay.core._downstream  # more than it can take for anybody
+    relay.take("odd", c.Subscribe(1, (c.Head("names/r/z"),)))
+    assert "odd" not in relay.core._downstream
+    world.until_all(ROUND_US)
+
+
+def test_its_bounds_and_its_end() -> None:
+    place = c.Place("x", "a")
+    with pytest.raises(ValueError, match="17 scopes"):
+        Reader(place, "r", "z", tuple(map(str, range(14))), 1, (place,), 0, DRIFT, 1, 0)
+    world = started(7)
+    one = process(world, "relay-1")
+    ends = [(e.to, e.message) for e in one.core.leave(one.clock()) if isinstance(e, Tell)]
+    assert len(ends) == 1 + len(one.core._downstream) and all(message == c.Leave(1) for _, message in ends)
+    assert not one.core.tick(one.clock() + SECOND)
+    reader = process(world, "reader-0")
+    (refused,) = [
+        e.message
+        for e in reader.core.receive("y", c.Subscribe(1, (c.Head("all"),)), reader.clock())
+        if isinstance(e, Tell)
+    ]
+    assert isinstance(refused, c.Refused) and refused.reason == "full"
+
+
+def test_what_a_reader_costs_is_what_the_page_says() -> None:
+    world = started(8, readers=6, relays=2, groups=False)
+    world.run(60 * SECOND)
+    sent = [(a, b, len(msgspec.msgpack.encode(m))) for a, b, m in world.tape]
+    began = len(sent)
+    world.run(60 * SECOND)
+    sent = [(a, b, len(msgspec.msgpack.encode(m))) for a, b, m in world.tape][began:]
+    reader = [size for a, b, size in sent if "reader-0" in (a, b)]
+    assert 60 <= len(reader) <= 80 and sum(reader) / 60 <= 100
+    assert feed.RATE == 131_072 and downstream.SILENT_US == 15 * SECOND
