Stream of control: scopes that only readers speak of are bounded, names are not for readers

Threat: a reader that makes up scopes, until there is no room for those that there are. Change: Logs.open_asked; a beat of version 0 opens no scope at another source; the source takes scopes as Downstream hands them over now.

--- a/oatlink/fleet/control/logs.py
+++ b/oatlink/fleet/control/logs.py
@@ -16,7 +16,7 @@
 from oatlink.fleet.control.log import Log
 from oatlink.fleet.control.offers import Done
 from oatlink.fleet.control.peers import Peers
-from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope
+from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope, key_of
 from oatlink.fleet.control.slots import SLOTS, scope_of_slot
 from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages import control as c
@@ -26,6 +26,7 @@
 FRESH_US = 1_000_000
 ROUND_US = 5_000_000
 MOST_LOGS = 100  # scopes; what keepers have room for (`slots`)
+MOST_UNKNOWN = 60  # of them on readers' words alone: 19 zones with their names, 5 regions, some groups nobody made yet
 ACKED = SLOTS // 4  # so many versions are told of at once, so that a burst does not wait for a beat to use slots again
 
 # (what is in force, entries that changed or all of them, whether it is all of them, now)
@@ -92,6 +93,15 @@
             self._logs[scope], self.tables[scope] = log, log.table
         return log
 
+    def open_asked(self, scope: str) -> Log | None:
+        """The same, on a reader's word. Threat: names that somebody makes up, and no room for those that there are."""
+        if scope not in self._logs:
+            everything = self.tables[ALL].entries
+            known = [key_of(one.replace("names/", "zone/", 1)) in everything for one in self._logs if one != ALL]
+            if key_of(scope.replace("names/", "zone/", 1)) not in everything and known.count(False) >= MOST_UNKNOWN:
+                return None
+        return self.open(scope)
+
     def restore(self, head: c.Head, entries: Entries, now_us: int) -> None:
         """What was on disk, before anything else."""
         log = self.open(head.scope)
@@ -125,7 +135,8 @@
                 return log.committed(sender, message.delta, now_us) if log is not None else []
             case c.Beat():
                 for head in message.heads:
-                    log = self.open(head.scope)
+                    # What only readers of another source speak of needs no log here.
+                    log = self.open(head.scope) if head.version else self._logs.get(head.scope)
                     if log is not None:
                         log.told(sender, head, now_us)
                 return []
--- a/oatlink/fleet/control/source.py
+++ b/oatlink/fleet/control/source.py
@@ -161,7 +161,7 @@
         """A word of a process that takes the stream."""
         match message:
             case c.Join():
-                if self._logs.open(names_of(message.region, message.zone)) is None:
+                if self._logs.open_asked(names_of(message.region, message.zone)) is None:
                     return [Tell(sender, c.Refused(message.incarnation, "bad", REFUSED_MS))]
                 return self._roster.joined(sender, message, now_us)
             case c.Subscribe():
@@ -207,5 +207,5 @@
             return done(0, mistake or "this source is about to stop")
         return self._logs.offer(scope, entries, base, done, now_us, anew) + self.tick(now_us)
 
-    def _take(self, scope: str) -> bool:
-        return self._logs.open(scope) is not None
+    def _take(self, scopes: tuple[str, ...]) -> bool:
+        return all(not is_names(one) and self._logs.open_asked(one) is not None for one in scopes)
--- a/tests/fleet/control/test_source.py
+++ b/tests/fleet/control/test_source.py
@@ -120,13 +120,28 @@
     assert isinstance(refused, c.Refused) and refused.reason == "bad" and refused.wait_ms >= 1_000
 
 
-def test_there_are_no_more_scopes_than_registers_have_room_for() -> None:
-    world = World(9, 1).run(SECOND)
-    for number in range(2 * logs.MOST_LOGS):
-        world.join(f"g{number}", zone=f"z{number}")
-        world.run(10 * MS)
+def test_made_up_scopes_take_no_room_from_those_that_there_are() -> None:
+    world = World(9, 2).run(SECOND)
+    for number in range(logs.MOST_LOGS):
+        heads = tuple(c.Head(f"group/{number}x{one}") for one in range(9))
+        world.take(f"g{number}", "s0", c.Subscribe(1, heads))
+        world.join(f"h{number}", zone=f"{number}")
+    scopes = dict(world.cores["s0"].rows(world.now))["scopes"].split()
+    assert len(scopes) == logs.MOST_UNKNOWN + 1
+    assert isinstance(world.words("g99")[0], c.Refused) and isinstance(world.words("h99")[0], c.Refused)
+    world.run(2 * SECOND)
+    assert len(dict(world.cores["s1"].rows(world.now))["scopes"].split()) == 14, "all, 6 zones, their names, a region"
+    world.offer("s0", 1, "all", *((f"group/{number}", b"1") for number in range(logs.MOST_LOGS)))
+    world.run(SECOND)
     assert len(dict(world.cores["s0"].rows(world.now))["scopes"].split()) == logs.MOST_LOGS
-    assert isinstance(world.words("g150")[0], c.Refused)
+
+
+def test_names_are_not_for_readers() -> None:
+    world = World(14, 1).run(SECOND)
+    world.join("g")
+    world.run(SECOND)
+    world.take("g", "s0", c.Subscribe(1, (c.Head("names/r0/z"),)))
+    assert isinstance(world.words("g")[-1], c.Refused)
 
 
 def test_what_was_on_disk_is_gone_on_from() -> None:
