--- a/oatlink/fleet/control/log.py
+++ b/oatlink/fleet/control/log.py
@@ -232,8 +232,7 @@
     def _agreed(self, slot: Slot) -> list[Effect]:
         """The slot holds the target, or the first version of a later epoch."""
         one = self._line.front
-        mine = one is not None and one.tried and slot.number == one.number
-        mine = mine and (slot.source, slot.incarnation) == (self._source, self._incarnation)
+        mine = self._is_mine(slot)
         if slot.epoch > self.head.epoch:
             self.table.begin(slot.epoch)
         effects = self._take(Delta(slot.epoch, slot.version, slot.entries), own=mine)
@@ -246,6 +245,11 @@
             one.tried = False  # its fence has passed: it has not happened and will not, and may be the next
         return effects
 
+    def _is_mine(self, slot: Slot) -> bool:
+        one = self._line.front
+        wrote = slot.source, slot.incarnation, slot.number
+        return one is not None and one.tried and wrote == (self._source, self._incarnation, one.number)
+
     def _take(self, delta: Delta, own: bool) -> list[Effect]:
         if not self.table.apply(delta):
             self._again_us = self._waiting_us + LOST_US
--- a/oatlink/fleet/control/roster.py
+++ b/oatlink/fleet/control/roster.py
@@ -11,7 +11,7 @@
 from functools import partial
 
 from oatlink.fleet.control.bounds import MOST_WAIT_MS
-from oatlink.fleet.control.members import SWEEP_US, Members
+from oatlink.fleet.control.members import GATHER_US, SWEEP_US, Members
 from oatlink.fleet.control.offers import Done
 from oatlink.fleet.control.peers import Peers
 from oatlink.fleet.control.scopes import ALL, key_of, names_of, zone_of
@@ -46,7 +46,7 @@
         self.members = Members(seed)
         self._incarnation, self._peers, self._tables, self._offer = incarnation, peers, tables, offer
         self._seats = Seats(self.members.names, place.name, region, (place, *peers.others), seed, now_us)
-        self._sweep_us = now_us + SWEEP_US
+        self._now_us, self._sweep_us = now_us, now_us + SWEEP_US
         self._count_us, self._counting = now_us, False
 
     @property
@@ -98,6 +98,7 @@
 
     def applied(self, scope: str, entries: tuple[c.Entry, ...], whole: bool, now_us: int) -> list[Effect]:
         """A version of a scope of names is in force; who waited for it is answered."""
+        self._now_us = now_us
         if whole:
             self.members.names.whole(scope, {one.key: one.value for one in entries}, now_us)
         else:
@@ -115,6 +116,7 @@
 
     def tick(self, fresh: bool, now_us: int) -> list[Effect]:
         """Time has passed. `fresh`: a majority has answered lately."""
+        self._now_us = now_us
         effects: list[Effect] = []
         for scope in self.members.due(now_us):
             effects += self._change(scope, now_us)
@@ -137,7 +139,7 @@
         def done(version: int, why: str) -> list[Effect]:
             # A lost race is run again at once: each round of it one source gets through.
             raced = not version and self._tables[scope].head.version != base
-            self.members.done(scope, now_us if version or raced else now_us + AGAIN_US)
+            self.members.done(scope, self._now_us + (GATHER_US if version else 0 if raced else AGAIN_US))
             return []
 
         return effects + (self._offer(scope, entries, base, done, now_us) if entries else [])
--- a/tests/fleet/control/test_members.py
+++ b/tests/fleet/control/test_members.py
@@ -155,6 +155,16 @@
     assert all(len(core.entries("names/r0/z")) == 1 for core in world.cores.values())
 
 
+def test_joins_that_come_one_after_the_other_are_gathered() -> None:
+    world = World(4, 1).run(SECOND)
+    for number in range(40):
+        world.join(f"g{number}")
+        world.run(10 * MS)
+    world.run(SECOND)
+    assert sum(scope == "names/r0/z" for scope, _, _ in world.written) <= 3
+    assert len(world.cores["s0"].entries("names/r0/z")) == 40
+
+
 def test_a_report_at_one_source_keeps_the_name_at_all() -> None:
     world = World(2, 3).run(SECOND)
     world.join("g")
