Stream of control: relays are not made to wait, a source says when it is too far behind

Need: a zone that sits down waits for its relays; an operator has to see which scope no register can mend any more. Change: a relay's seat has no wait; Note control_behind; slots are read twice a second, so that age 0 holds between two; one place says what a scope's name is.

--- a/oatlink/fleet/control/checks.py
+++ b/oatlink/fleet/control/checks.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatlink.fleet.control.scopes import ALL, is_names, is_scope, key_of
+from oatlink.fleet.control.bounds import is_scope
+from oatlink.fleet.control.scopes import ALL, is_names, key_of
 from oatlink.fleet.control.table import are_sound
 from oatlink.fleet.messages.control import MOST_CHANGE, MOST_ENTRY, MOST_ENTRY_KEY, Entry
 
--- a/oatlink/fleet/control/log.py
+++ b/oatlink/fleet/control/log.py
@@ -217,7 +217,8 @@
         if how == "behind":
             self._anew = max(self._anew, epoch)
             self.behind, self.caught_up = True, False
-            return self._fail("unknown: too far behind to see what came of it", under_way=True)
+            note = Note("control_behind", f"{self.scope} {version}: its slot holds {slot.epoch}.{slot.version}")
+            return [note, *self._fail("unknown: too far behind to see what came of it", under_way=True)]
         if how == "lost":
             noted, self.lost = self.lost, True
             note = Note("control_slots_lost", f"{self.scope} {version}: its slot holds {slot.epoch}.{slot.version}")
--- a/oatlink/fleet/control/logs.py
+++ b/oatlink/fleet/control/logs.py
@@ -3,20 +3,21 @@
 What may live here: opening a scope, handing a word or an answer to its log, serving another source what it lacks, and
 the turn in which next slots are read. What a version means lives elsewhere: `moved` is told of each.
 
-Freshness. Each register's answer is a majority's word. In turn each scope's next slot is read, one a second at least
-and each scope once in `ROUND_US`, so a version that nobody told of is noticed by then. With an answer within `FRESH_US`
-the age is 0, else the time since it was asked for.
+Freshness. Each register's answer is a majority's word. In turn each scope's next slot is read, two a second at least
+and each scope once in `ROUND_US`, so a version that nobody told of is noticed by then. With an answer that was asked
+for within `FRESH_US` the age is 0, else the time since that.
 """
 
 from collections.abc import Callable
 from math import ceil
 
 from oatlink.fleet.control.age import in_ms
+from oatlink.fleet.control.bounds import is_scope
 from oatlink.fleet.control.checks import Checker, Entries
 from oatlink.fleet.control.log import Log
 from oatlink.fleet.control.offers import Done
 from oatlink.fleet.control.peers import Peers
-from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope, key_of
+from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, key_of
 from oatlink.fleet.control.slots import SLOTS, scope_of_slot
 from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages import control as c
@@ -162,7 +163,7 @@
             logs = list(self._logs.values())
             self._turn += 1
             logs[self._turn % len(logs)].look(now_us)
-            self._look_us = now_us + min(FRESH_US, ROUND_US // len(logs))
+            self._look_us = now_us + min(FRESH_US // 2, ROUND_US // len(logs))
         effects: list[Effect] = []
         for log in list(self._logs.values()):
             if now_us >= log.due_us:
--- a/oatlink/fleet/control/members.py
+++ b/oatlink/fleet/control/members.py
@@ -15,8 +15,9 @@
 
 import msgspec
 
+from oatlink.fleet.control.bounds import MOST_ADDRESS, is_scope
 from oatlink.fleet.control.names import ALIVE_US, Known, Named, Names, entry_of
-from oatlink.fleet.control.scopes import is_scope, names_of
+from oatlink.fleet.control.scopes import names_of
 from oatlink.fleet.control.seats import as_relay, order
 from oatlink.fleet.messages import NEVER_US
 from oatlink.fleet.messages.control import MOST_CHANGE, MOST_ENTRY_KEY, Entry, Join
@@ -28,7 +29,6 @@
 CUT_US = 7_200_000_000  # regions lose each other for an hour; twice that
 MOST_WISHES = 4_096  # all that wait at one source: more than the whole fleet
 WISH_US = 60_000_000  # who has not come into the names by then asks again
-MOST_ADDRESS = 256  # bytes
 MOST_SERVES = 4_096
 MARGIN = 256  # bytes of a change beside its entries
 
--- a/oatlink/fleet/control/roster.py
+++ b/oatlink/fleet/control/roster.py
@@ -177,7 +177,9 @@
         scope = names_of(join.region, join.zone)
         there = partial(self._peers.is_there, now_us=now_us)
         upstream, spare = self._seats.place(name, scope, there, now_us, may_relay)
-        return [Tell(name, c.Seat(join.incarnation, upstream, spare, wait_us // 1_000))]
+        # A relay takes its turn, but comes at once: others wait for what it has.
+        wait_ms = 0 if self._seats.is_relay(name) else wait_us // 1_000
+        return [Tell(name, c.Seat(join.incarnation, upstream, spare, wait_ms))]
 
     def _refuse(self, name: str, incarnation: int, why: str, now_us: int) -> list[Effect]:
         wait_ms = LEAST_WAIT_MS
--- a/oatlink/fleet/control/scopes.py
+++ b/oatlink/fleet/control/scopes.py
@@ -5,19 +5,11 @@
 `readers/R/Z` with the number of readers there, in digits.
 """
 
-from oatlink.fleet.messages.control import MOST_SCOPE, MOST_SCOPES
+from oatlink.fleet.control.bounds import is_scope
+from oatlink.fleet.messages.control import MOST_SCOPES
 
 ALL = "all"
 COUNTS = "readers/"  # keys in `all` that sources alone write
-_PARTS = {"region": 1, "zone": 2, "group": 1, "names": 2}
-
-
-def is_scope(name: str) -> bool:
-    """Whether this may be a scope's name. Threat: a name that is no register's key, or that two write differently."""
-    if len(name) > MOST_SCOPE or not name.isascii() or not name.isprintable() or " " in name:
-        return False
-    kind, *parts = name.split("/")
-    return name == ALL or (len(parts) == _PARTS.get(kind, -1) and all(parts))
 
 
 def names_of(region: str, zone: str) -> str:
--- a/oatlink/fleet/control/seats.py
+++ b/oatlink/fleet/control/seats.py
@@ -74,7 +74,7 @@
 
     def reports(self, relay: str, children: int) -> None:
         """How many a relay has below it now."""
-        if self._is_relay(relay):
+        if self.is_relay(relay):
             self._loads.setdefault(relay, _Load()).children = max(0, children)
 
     def lost(self, asker: str, upstream: str, now_us: int) -> None:
@@ -85,7 +85,7 @@
         self._lost.move_to_end(asker)
         if len(self._lost) > MOST_LOST:
             self._lost.popitem(last=False)
-        if self._is_relay(upstream):
+        if self.is_relay(upstream):
             load = self._loads.setdefault(upstream, _Load())
             load.lost_by = {name: us for name, us in load.lost_by.items() if now_us - us < LOST_US}
             load.lost_by[asker] = now_us
@@ -113,7 +113,7 @@
         not_again, until_us = self._lost.get(asker, ("", 0))
         shunned = not_again if now_us < until_us else ""
         found: list[str] = []
-        if not may_relay and not self._is_relay(asker):
+        if not may_relay and not self.is_relay(asker):
             region, _ = zone_of(scope)
             for near in (scope, *self._near(scope, region)):
                 found += self._relays(asker, near, shunned, now_us)[: 2 - len(found)]
@@ -163,7 +163,8 @@
         self._loads.pop(name, None)
         self._lost.pop(name, None)
 
-    def _is_relay(self, name: str) -> bool:
+    def is_relay(self, name: str) -> bool:
+        """Whether this is a relay in service."""
         one = self._names.get(name)
         return one is not None and one.named.serves > 0
 
--- a/oatlink/fleet/control/source.py
+++ b/oatlink/fleet/control/source.py
@@ -9,14 +9,14 @@
 
 from collections.abc import Mapping
 
-from oatlink.fleet.control.bounds import is_report
+from oatlink.fleet.control.bounds import is_report, is_scope
 from oatlink.fleet.control.checks import Checker, mistake_of_scope
 from oatlink.fleet.control.downstream import Downstream
 from oatlink.fleet.control.drops import Drops
 from oatlink.fleet.control.logs import Logs
 from oatlink.fleet.control.peers import BEAT_US, Peers
 from oatlink.fleet.control.roster import Roster
-from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope, names_of, scope_of
+from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, names_of, scope_of
 from oatlink.fleet.control.sums import Sums
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.base import NEVER_US, Message
--- a/tests/fleet/control/test_log.py
+++ b/tests/fleet/control/test_log.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 
 from oatlink.fleet import messages as f
+from oatlink.fleet.control import scopes
 from oatlink.fleet.control.log import Log
 from oatlink.fleet.control.slots import SLOTS
 from oatlink.fleet.messages import control as c
@@ -142,6 +143,16 @@
     assert all(text.startswith("refused") for text in world.replied.values()) and len(world.replied) == 3
 
 
+def test_scopes_of_a_process() -> None:
+    assert scopes.taken_by("r", "z", ("g", "g")) == ("all", "region/r", "zone/r/z", "group/g")
+    for region, groups in (("a/b", ()), ("", ()), ("r" * 64, ()), ("r", tuple(map(str, range(14))))):
+        with pytest.raises(ValueError):
+            scopes.taken_by(region, "z", groups)
+    for scope in ("region/r", "zone/r/z", "group/g"):
+        assert scopes.scope_of(scopes.key_of(scope)) == scope
+    assert not any(map(scopes.scope_of, ("k", "readers/", "readers/a/b/c", "group/", "names/r/z", "")))
+
+
 def test_lost_registers_take_nothing_until_the_epoch_is_raised() -> None:
     world = World(6, 3).run(50 * MS)
     for ticket in range(SLOTS + 3):
--- a/tests/fleet/control/test_members.py
+++ b/tests/fleet/control/test_members.py
@@ -181,6 +181,19 @@
     assert not any(core.entries("names/r0/z") for core in world.cores.values())
 
 
+def test_names_begun_anew_come_back_by_joins() -> None:
+    world = World(5, 2).run(SECOND)
+    world.join("g")
+    world.run(2 * SECOND)
+    world.carry("s1", world.cores["s1"].begin_epoch(1, "names/r0/z", (), world.now))
+    world.run(SECOND)
+    assert world.replied[1] == "names/r0/z is at version 1"
+    assert not any(core.entries("names/r0/z") for core in world.cores.values())
+    world.join("g")
+    world.run(SECOND)
+    assert all("g" in core.entries("names/r0/z") for core in world.cores.values())
+
+
 def test_counts_are_entries_of_all_at_a_bounded_rate() -> None:
     world = World(3, 3).run(SECOND)
     for number in range(30):
--- a/tests/fleet/control/test_source_guards.py
+++ b/tests/fleet/control/test_source_guards.py
@@ -80,7 +80,7 @@
 put("joins are gathered", of_members.test_joins_that_come_one_after_the_other_are_gathered, members, GATHER_US=0)
 put("reports told on", of_members.test_a_report_at_one_source_keeps_the_name_at_all, Roster, spoke=lambda *_: [])
 put("the rate of counts", of_members.test_counts_are_entries_of_all_at_a_bounded_rate, roster, COUNT_US=0)
-put("relays hear sources", of_seats.circles, Seats, _is_relay=lambda *_: False)
+put("relays hear sources", of_seats.circles, Seats, is_relay=lambda *_: False)
 put("what was lost", of_seats.test_what_was_lost_is_not_given_again_for_a_while, Seats, lost=lambda *_: None)
 put("the pace", pace, Seats, pace=lambda *_: 0)
 put(
