--- a/tests/fleet/control/test_log.py
+++ b/tests/fleet/control/test_log.py
@@ -110,11 +110,14 @@
     world.run(SECOND)
     assert sorted(world.replied.values())[0] == "all is at version 1"
     assert sum(text == "refused: made for version 0, now 1" for text in world.replied.values()) == 1
+    world.offer("s0", 4, "all", ("k", b"1"), ("k", b"2"))
+    assert world.replied[4] == "refused: a key twice in one change"
     assert len(world.written) == 2
 
 
 LONG, HALF = b"x" * 5_000, b"x" * 4_000
-BAD: list[tuple[str, dict[str, bytes], int, str]] = [
+State = dict[str, bytes]
+BAD: list[tuple[str, State, int, str]] = [
     ("all", {"k": b"bad"}, -1, "bad is bad"),
     ("all", {"k": LONG}, -1, "a value 4096 at most"),
     ("all", {"a": HALF, "b": HALF}, -1, "7168 at most"),
@@ -130,9 +133,7 @@
 
 
 @pytest.mark.parametrize("scope, entries, base, why", BAD)
-def test_a_bad_change_is_refused_and_changes_nothing(
-    scope: str, entries: dict[str, bytes], base: int, why: str
-) -> None:
+def test_a_bad_change_is_refused_and_changes_nothing(scope: str, entries: State, base: int, why: str) -> None:
     world = World(4, 1).run(50 * MS)
     world.offer("s0", 1, scope, *entries.items(), base=base)
     world.run(SECOND)
--- a/tests/fleet/control/test_source.py
+++ b/tests/fleet/control/test_source.py
@@ -211,7 +211,7 @@
         super().start(name)
         self.proposers[name] = Proposer(name, self.born[name], self.real.keepers, self.born[name])
         self.real.nodes[name] = SimpleNamespace(  # type: ignore[assignment]
-            take=lambda *word: self.route(name, self.proposers[name].receive(*word, self.real.now))
+            take=lambda sender, word: self.route(name, self.proposers[name].receive(sender, word, self.real.now))
         )
 
     def step(self) -> None:
