Stream of control: relays are filled to one half, so that a lost one's children find room

Cause: of 16 children of a killed relay several were refused by a full spare (trial, 200 readers of 4 zones, 6 sources). Change: relays of a zone serve twice its size, half full ones are given first.

--- a/oatlink/fleet/control/seats.py
+++ b/oatlink/fleet/control/seats.py
@@ -3,11 +3,12 @@
 What may live here: the choice of relays, upstream and spare, and the pace. Who has a name lives in `members`.
 
 - **Depth 2, no circle.** Whether a process relays is decided once an incarnation, with its name, and agreed with it: as
-  few as serve the zone and a quarter more, and two at least; of those that come at once the first by rendezvous hash
-  of seed and name. A relay hears sources alone, everybody else a relay or a source, and nobody himself.
-- **Upstream and spare.** Of the zone's relays with room, then of its region's, then of the sources: the two first by
-  rendezvous hash of seed, process and relay, the less loaded of them as upstream. Load is what the relay last reported
-  and what was given to it since.
+  few as serve `ROOM` times the zone, and two at least; of those that come at once the first by rendezvous hash of seed
+  and name. A relay hears sources alone, everybody else a relay or a source, and nobody himself.
+- **Upstream and spare.** Of the zone's relays that are less than half full, of its other ones with room, of its
+  region's, of the sources: the two first by rendezvous hash of seed, process and relay, the less loaded of them as
+  upstream. Load is what the relay last reported and what was given to it since. With half of each free, the children
+  of one that is lost find room at their spares, be it at the only other one.
 - **Lost.** The upstream that a process says it has lost is not given to it for `LOST_US`; one that `WITNESSES` have
   lost is given to nobody for as long.
 - **Pace.** `A_SECOND` seats a second; each says how long to wait for its turn, so a source is asked once. Above
@@ -30,7 +31,7 @@
 LOST_US = 30_000_000
 WITNESSES = 2
 MOST_LOST = 4_096
-SPARE_PART = 4  # a quarter more than the zone has: a relay may go, and the others have room
+ROOM = 2  # what relays can serve, in sizes of their zone
 
 
 def rank(seed: int, asker: str, name: str) -> int:
@@ -46,7 +47,7 @@
 def as_relay(serves: int, relays: Iterable[int], size: int) -> bool:
     """Whether one more relay, that could serve so many, is needed in a zone of `size` with these relays."""
     room = list(relays)
-    return serves > 0 and (len(room) < 2 or SPARE_PART * sum(room) < (SPARE_PART + 1) * size)
+    return serves > 0 and (len(room) < 2 or sum(room) < ROOM * size)
 
 
 class _Load(msgspec.Struct):
@@ -137,7 +138,8 @@
             there = name not in (asker, shunned) and now_us >= load.shunned_us and self._names.is_alive(name, now_us)
             if there and load.children < serves:
                 fit.append(name)
-        return order(self._seed, asker, fit)
+        ranked = order(self._seed, asker, fit)
+        return sorted(ranked, key=lambda name: ROOM * self._loads[name].children >= zone.relays[name])
 
     def _choose_sources(self, asker: str, scope: str, shunned: str, is_there: Callable[[str], bool]) -> list[str]:
         """All sources, best first: there and not lost, then this one for its own region, then by hash."""
