--- a/tests/fleet/control/test_source_guards.py
+++ b/tests/fleet/control/test_source_guards.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from oatlink.fleet.control import log, logs, members, roster, source
+from oatlink.fleet.control import agreement, log, logs, members, roster, source
+from oatlink.fleet.control.agreement import Agreement
 from oatlink.fleet.control.log import Log
 from oatlink.fleet.control.logs import Logs
 from oatlink.fleet.control.members import Members
@@ -62,11 +63,16 @@
 put(
     "slots written over at any time", of_log.test_slots_are_used_again_when_most_have_their_version, Log, _most_have=yes
 )
-put("whose a version is", race, Log, _is_mine=lambda one, _: one._line.tried)
-put("which version is ours", race, Log, _is_mine=lambda *_: False)
-put("the caller's check", bad_changes, log, mistake_of_state=nothing)
+put("whose a version is", race, Agreement, is_mine=lambda one, _: one.line.tried)
+put("which version is ours", race, Agreement, is_mine=lambda *_: False)
+put("the caller's check", bad_changes, agreement, mistake_of_state=nothing)
 put("the bounds of a change", bad_changes, log, mistake_of_change=nothing)
-put("the version it is made for", of_log.test_a_change_is_checked_again_after_a_lost_race, log, mistake_of_base=nothing)
+put(
+    "the version it is made for",
+    of_log.test_a_change_is_checked_again_after_a_lost_race,
+    agreement,
+    mistake_of_base=nothing,
+)
 put("that a scope exists", bad_changes, source, mistake_of_scope=nothing)
 put("one is alive", of_members.test_a_name_stays_with_its_process_while_that_is_heard, Names, is_alive=lambda *_: False)
 put("a cut zone", of_members.test_a_zone_that_is_cut_off_is_not_emptied, members, CUT_PART=0)
@@ -99,7 +105,7 @@
 )
 
 
-@instead_of(log, "reading", of_log.test_lost_registers_take_nothing_until_the_epoch_is_raised)
+@instead_of(agreement, "reading", of_log.test_lost_registers_take_nothing_until_the_epoch_is_raised)
 def lost_slots_are_open(honest: Honest, *given: Any) -> str:
     how: str = honest(*given)
     return "open" if how == "lost" else how
@@ -107,8 +113,8 @@
 
 @instead_of(Log, "answered", race)
 def unknown_is_taken_for_failed(honest: Honest, one: Log, answer: Answer, now_us: int) -> list[Effect]:
-    if answer.how == "unknown" and one._line.tried:
-        front = one._line.front
+    if answer.how == "unknown" and one._at.line.tried:
+        front = one._at.line.front
         assert front is not None
         front.tried, front.number = False, front.number + 1_000
     return honest(one, answer, now_us)  # type: ignore[no-any-return]
