--- a/tests/fleet/control/test_log.py
+++ b/tests/fleet/control/test_log.py
@@ -48,6 +48,22 @@
     world.judge(tickets)
 
 
+def test_a_crash_at_any_step_of_a_race_leaves_one_history() -> None:
+    for step in range(60):
+        world = World(step % 5, 2, unknown=0.3 * (step % 2)).run(50 * MS)
+        tickets = {ticket: ("all", c.Entry("k", b"%d" % ticket)) for ticket in range(1, 7)}
+        for ticket, (scope, entry) in tickets.items():
+            world.offer(f"s{ticket % 2}", ticket, scope, (entry.key, entry.value))
+        world.run(step * MS // 2)
+        world.crash("s0")
+        world.run(step * 100 * MS)
+        world.start("s0")
+        world.unknown = 0.0
+        world.run(8 * SECOND)
+        world.judge(tickets)
+        assert world.cores["s0"].head("all") == world.cores["s1"].head("all") and len(world.written) >= 3
+
+
 def test_while_an_end_is_unknown_only_the_slot_tells_whose_a_version_is() -> None:
     ends: list[int] = []
 
