--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -168,16 +168,16 @@
     def _sit(self, seat: Seat, now_us: int) -> list[Effect]:
         """Take a seat: as it is, where we have none or an old one; else for its spare alone."""
         self._seat, self._seat_us = None, NEVER_US
-        places = [one for one in (seat.upstream, seat.spare) if one.name not in ("", self._name, self.peer)]
+        places = [one for one in (seat.upstream, seat.spare) if one.name not in ("", self._name)]
         effects: list[Effect] = []
-        if self.current is None or self.old:
-            if not places:
-                self._join_us = min(self._join_us, now_us + self._window())
-                return []
+        other = next((one for one in places if one.name != self.peer), None)
+        if other is not None and (self.current is None or self.old):
             effects += [Tell(self.peer, Leave(self._join.incarnation))] if self.peer else []
             self.old = False
-            effects += self._subscribe(places.pop(0), now_us)
+            effects += self._subscribe(other, now_us)
         self.spare = next((one for one in reversed(places) if one.name != self.peer), None)
+        if self.spare is None:  # ask again soon, but not as soon as one that hears nobody
+            self._join_us = min(self._join_us, now_us + self._window() + (MOST_WINDOW_US if self.current else 0))
         return effects
 
     def _ask(self, now_us: int) -> list[Effect]:
--- a/tests/fleet/control/test_reader.py
+++ b/tests/fleet/control/test_reader.py
@@ -57,7 +57,7 @@
     assert all(world.source(0).sums.lag(s).behind + world.source(1).sums.lag(s).behind == 0 for s in world.history)
 
 
-@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seed", [1, 7, 19, 86])  # 7, 19, 86: seats taken while a relay had no word itself yet
 def test_a_relay_killed_in_the_middle_of_a_change_costs_less_than_the_stated_bound(seed: int) -> None:
     world = started(seed)
     world.run(2 * SECOND)
--- a/tests/fleet/control/test_upstream.py
+++ b/tests/fleet/control/test_upstream.py
@@ -95,7 +95,7 @@
         asked = told(one.tick(now), c.Join)
         assert one.peer == "relay-a" and now < 60 * SECOND
     assert one.seat(asked[0], c.Seat(7, A, D), now)
-    assert told(one.tick(now), c.Subscribe) == ["relay-d"] and one.peer == "relay-d"
+    assert told(one.tick(now), c.Subscribe) == ["relay-d"] and one.peer == "relay-d" and one.spare == A
 
 
 @pytest.mark.parametrize("zone", [20, 190, 720])
