--- a/tests/fleet/control/reader_world.py
+++ b/tests/fleet/control/reader_world.py
@@ -206,6 +206,7 @@
         end = self.now + us
         while self.queue and self.queue[0][0] <= end:
             self.now, _, what = heapq.heappop(self.queue)
+            assert self.serial < 1_000_000, "somebody is due without end"
             what()
         self.now = end
         self.judge()
--- a/tests/fleet/control/test_downstream.py
+++ b/tests/fleet/control/test_downstream.py
@@ -73,6 +73,19 @@
     assert rest[-1][0] <= began + f.GATHER_US
 
 
+def test_a_beat_tells_of_nothing_that_was_not_sent_before_it() -> None:
+    relay = Relay()
+    relay.child("a")
+    for _ in range(100):
+        relay.commit()
+        relay.run(37 * MS)
+    sent = 0
+    for word in [one.message for _, one in relay.told]:
+        if isinstance(word, c.Changes):
+            sent = word.deltas[-1].version
+        assert not isinstance(word, c.Beat) or word.heads[0].version <= sent
+
+
 def test_at_most_so_many_children_each_told_each_second_and_who_is_silent_goes() -> None:
     relay = Relay(most=50)
     for n in range(50):
--- a/tests/fleet/control/test_reader.py
+++ b/tests/fleet/control/test_reader.py
@@ -4,7 +4,7 @@
 import pytest
 
 from oatlink.fleet.control import downstream, feed
-from oatlink.fleet.control.age import BEHIND_US
+from oatlink.fleet.control.age import BEHIND_US, Age
 from oatlink.fleet.control.reader import Reader
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.effects import Tell
@@ -168,6 +168,59 @@
     world.until_all(ROUND_US)
 
 
+def test_only_possible_words_of_the_upstream_are_taken_and_a_gap_is_asked_for() -> None:
+    world = started(9, groups=False)
+    one = process(world, "reader-0")
+    core, up, at = one.core, one.core._upstream, one.core.head("all").version
+    other = next(name for name in world.nodes if name not in ("reader-0", up.peer))
+    one.take(other, c.Changes("all", (c.Delta(0, at + 1, (c.Entry("k", b"1"),)),)))
+    small = tuple(c.Entry(f"k{n}", bytes(4_000)) for n in range(4))
+    for odd in (
+        c.Changes("all", ()),
+        c.Changes("all", (c.Delta(0, at + 1, small),)),
+        c.Changes("all", (c.Delta(-1, at + 1, ()),)),
+        c.Page("all", 0, at + 9, at + 9, at, "", (c.Entry("b", b"1"), c.Entry("a", b"1")), True),
+        c.Page("all", 0, at + 9, at + 9, at, "", small, True),
+        c.Page("all", 0, at + 9, at + 9, at, "", (), False),
+        c.Changes("group/other", (c.Delta(0, 1, ()),)),
+    ):
+        one.take(up.peer, odd)
+    assert core.head("all").version == at and not core._tables["all"].gathering
+    counts = core._drops.counts
+    assert (counts["impossible changes"], counts["impossible page"], counts["scope not taken"]) == (3, 3, 1)
+    assert len([note for note in one.notes if "impossible" in note.text]) == 2  # a line a reason, once a minute
+    world.run(2 * SECOND)
+    (beat_us,) = (up._again_us,)
+    one.take(up.peer, c.Changes("all", (c.Delta(0, at + 2, ()),)))
+    assert beat_us > one.clock() and up._subscribed_us == one.clock()  # at once, by the gap and not by a beat later
+    one.take(up.peer, c.Page("all", 0, at + 9, at + 9, at, "", (c.Entry("a", b"1"),)))
+    for _ in range(4):  # another upstream is behind: its snapshots begin before the one under way
+        assert core._tables["all"].gathering
+        one.take(up.peer, c.Page("all", 0, at + 8, at + 8, at, "", (c.Entry("a", b"1"),)))
+    assert not core._tables["all"].gathering
+    (refused,) = [e.message for e in core.receive(up.peer, c.Subscribe(1, ()), one.clock()) if isinstance(e, Tell)]
+    assert isinstance(refused, c.Refused) and refused.reason == "bad"
+
+
+def test_a_scope_that_is_taken_anew_is_not_covered_by_the_age_of_before() -> None:
+    world = started(10, groups=False)
+    relay = process(world, "relay-0")
+    relay.take("child", c.Subscribe(1, (c.Head("group/g"),)))
+    world.run(4 * SECOND)
+    assert relay.core._hearing.covers("group/g")
+    relay.take("child", c.Leave(1))
+    relay.core._take(tuple(f"group/{n}" for n in range(13)))  # no room but in its place
+    relay.core._give_back(relay.clock())
+    assert relay.core._take(("group/g",)) and not relay.core._hearing.covers("group/g")
+
+
+def test_what_is_known_to_be_younger_stays_known() -> None:
+    age = Age(DRIFT, 1)
+    age.told(100, 0)
+    age.told(9 * SECOND, SECOND)
+    assert SECOND < age.at(SECOND) < 1.01 * SECOND and not age.behind(SECOND) and age.behind(6 * SECOND)
+
+
 def test_its_bounds_and_its_end() -> None:
     place = c.Place("x", "a")
     with pytest.raises(ValueError, match="17 scopes"):
--- a/tests/fleet/control/test_table.py
+++ b/tests/fleet/control/test_table.py
@@ -8,7 +8,7 @@
 from oatlink.fleet.control.table import Table, size_of
 from oatlink.fleet.messages.control import Delta, Entry, Head, Page
 
-KEPT, PAGE = 300, 60  # bytes: a few changes, a few entries
+KEPT, PAGE = 100, 60  # bytes: five changes, three entries
 
 
 class Both:
@@ -61,7 +61,7 @@
 )
 def test_whole_versions_only_never_back_and_in_the_end_the_newest(steps: list[str], seed: int) -> None:
     both = Both(Random(seed))
-    for step in [*("commit",) * 10, *steps * 3]:
+    for step in [*("commit",) * 20, *steps * 4]:
         if step in ("commit", "send", "subscribe"):
             getattr(both, step)()
         elif both.way:
--- a/tests/fleet/control/test_upstream.py
+++ b/tests/fleet/control/test_upstream.py
@@ -6,7 +6,6 @@
 
 from oatlink.fleet.control import upstream as u
 from oatlink.fleet.messages import control as c
-from oatlink.fleet.messages.base import NEVER_US
 from oatlink.fleet.messages.effects import Effect, Tell
 
 SECOND = 1_000_000
@@ -48,7 +47,7 @@
     assert c.Known(A, forget=True) in effects and told(effects, c.Leave) == ["relay-a"]
     asked: list[str] = []
     began = now
-    while not asked:
+    while not asked and now < began + 10 * SECOND:
         now = one.due_us
         one.hears(now, False)
         asked = told(one.tick(now), c.Join)
@@ -75,6 +74,12 @@
     assert told(late.tick(now + 3 * SECOND), c.Subscribe) == ["relay-a"]
 
 
+def test_without_a_spare_a_source_is_asked_again_soon() -> None:
+    one, now = seated(c.Seat(7, A, c.Place("", "")))
+    one.hears(now, False)
+    assert one.spare is None and one._join_us <= now + 2 * u.MOST_WINDOW_US
+
+
 def test_a_gap_is_asked_for_at_a_bounded_rate() -> None:
     one, now = seated()
     asked = 0
@@ -109,8 +114,9 @@
     window = max(u.LEAST_WINDOW_US, zone * u.PER_READER_US)
     for one in ones:
         one._join_us = one._window()  # as after `lose`; all in the same moment
-        now = 0
-        while (now := one.due_us) < 300 * SECOND:
+        now = -1
+        while now < (due := one.due_us) < 300 * SECOND:
+            now = due
             asked = told(one.tick(now), c.Join)
             sources.update(asked)
             joins[now // SECOND] += len(asked)
@@ -120,5 +126,5 @@
     )
     mean = zone * SECOND / (u.MOST_WINDOW_US / 2 + u.JOIN_US)  # half a window and the wait for an answer
     assert max(joins[s] for s in range(200, 300)) <= mean + 4 * mean**0.5 + 2
+    assert min(one.due_us for one in ones) >= 300 * SECOND  # none was due twice in one moment
     assert len(sources) == 6 and max(sources.values()) < 1.5 * min(sources.values())
-    assert upstream().due_us < NEVER_US
