--- /dev/null
+++ b/benchmarks/scale/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""The measurements, each a module with one `Measurement`."""
