--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -48,9 +48,9 @@
     machine: str
     found: list[Found]
 
-    def line(self, value: str) -> Line:
-        """The line of one of its values over the sizes. Raises `ValueError` under four sizes."""
-        return line([(one.size, one.values[value]) for one in self.found if value in one.values])
+    def line(self, value: str, axis: str = "") -> Line:
+        """The line of one of its values over the sizes, or over another value. Raises `ValueError` under four."""
+        return line([(one.values[axis] if axis else one.size, one.values[value]) for one in self.found])
 
     def last(self, value: str) -> float:
         """The value at the largest size, for what does not depend on it."""
--- a/benchmarks/scale/site.py
+++ b/benchmarks/scale/site.py
@@ -12,6 +12,7 @@
 ZONES = 19
 ANSWER_US = 5_000  # mean of an answer, drawn
 CHECK_US = 2_000
+DIAL_US = 250_000  # until a dial that nobody answers is given up
 LAG_US = 30_000  # mean of how far a replica is behind, drawn
 
 
@@ -46,15 +47,20 @@
         members: int,
         peers: int,
         rate: float,
-        class_name: str,
+        mix: dict[str, float],
         staleness_us: int,
         seed: int,
         warm_after_us: int = 0,
     ) -> None:
+        """`mix`: the classes of what arrives, and the weight of each."""
+        self.down: set[int] = set()  # members that nothing reaches: what is sent there could not connect
+        self.primaries = {group: group * GROUP for group in range(members // GROUP)}
+        self.checked: Counter[int] = Counter()  # by member
         self.router = Router(settings(peers, staleness_us, warm_after_us))
         self.counts: Counter[str] = Counter()
         self.handle_s = 0.0
-        self._groups, self._rate, self._class = members // GROUP, rate, class_name
+        self._groups, self._rate = members // GROUP, rate
+        self._names, self._weights = list(mix), list(mix.values())
         self._draw = random.Random(seed)
         self._events: list[tuple[int, int, api.Event]] = []
         self._order = self._requests = 0
@@ -76,7 +82,8 @@
                 self._requests += 1
                 self.counts["requests"] += 1
                 group = self._draw.randrange(self._groups)
-                self._take(api.Arrival(str(self._requests), self._class, group, 1_000_000))
+                name = self._draw.choices(self._names, self._weights)[0]
+                self._take(api.Arrival(str(self._requests), name, group, 1_000_000))
             else:
                 self.now = end_us
                 return self.counts - before, self.handle_s - took
@@ -90,7 +97,7 @@
         heapq.heappush(self._events, (self.now + max(1, round(after_us)), self._order, event))
 
     def _report(self, member: int) -> api.Report:
-        if member % GROUP == 0:
+        if self.primaries[member // GROUP] == member:
             return api.Report(self.now, api.Role.PRIMARY)
         return api.Report(self.now - round(self._draw.expovariate(1 / LAG_US)), api.Role.REPLICA)
 
@@ -102,16 +109,25 @@
             self.counts[type(one).__name__] += 1
             match one:
                 case api.Send():
-                    request = self.router.book.requests[one.request]
-                    took = self._draw.expovariate(1 / ANSWER_US)
-                    end = api.AttemptEnded(
-                        one.request, len(request.attempts) - 1, one.member, api.Outcome.SERVED, round(took), over=True,
-                        answer=self._report(one.member),
-                    )  # fmt: skip
-                    self._later(took, end)
+                    self._sent(one)
                 case api.Check():
-                    self._later(
-                        CHECK_US, api.Checked(one.member, api.Outcome.SERVED, CHECK_US, self._report(one.member))
-                    )
+                    self.checked[one.member] += 1
+                    if one.member in self.down:
+                        ended = api.Checked(one.member, api.Outcome.NO_CONNECTION, DIAL_US)
+                    else:
+                        report = self._report(one.member)
+                        ended = api.Checked(one.member, api.Outcome.SERVED, CHECK_US, report)
+                    self._later(ended.duration_us, ended)
                 case api.SetTimer():
                     self._later(one.at_us - self.now, api.TimerFired(one.name))
+
+    def _sent(self, send: api.Send) -> None:
+        number = len(self.router.book.requests[send.request].attempts) - 1
+        if send.member in self.down:
+            lost = api.AttemptEnded(send.request, number, send.member, api.Outcome.NO_CONNECTION, DIAL_US)
+            self._later(DIAL_US, lost)
+            return
+        took = round(self._draw.expovariate(1 / ANSWER_US))
+        report = self._report(send.member)
+        served = api.Outcome.SERVED
+        self._later(took, api.AttemptEnded(send.request, number, send.member, served, took, over=True, answer=report))
--- a/benchmarks/scale/slopes/checks.py
+++ b/benchmarks/scale/slopes/checks.py
@@ -1,14 +1,21 @@
 """A Router's checks under reads with a bound on staleness of 500 ms, and its processor time a request."""
 
+import math
+
 from benchmarks.scale.measure import Measurement, Values
-from benchmarks.scale.site import GROUP, Site
+from benchmarks.scale.site import GROUP, LAG_US, Site
 
 RATE = 6_600_000 / 3_600  # statements a second at one gateway
 STALENESS_US = 500_000
 
 
+def stale_share(members: float, rate: float, group: float = GROUP) -> float:
+    """The share of reads that find nothing known of their group that is fresh enough: none came within the bound."""
+    return math.exp(-(STALENESS_US - LAG_US) / 1e6 * rate * group / members)
+
+
 def _run(members: int) -> Values:
-    site = Site(members, members // 2, RATE, "bounded", STALENESS_US, seed=11)
+    site = Site(members, members // 2, RATE, {"bounded": 1}, STALENESS_US, seed=11)
     first, _ = site.run(10)
     site.run(10)
     steady, took = site.run(20)
@@ -17,7 +24,8 @@
         "checks_per_s": steady["Check"] / 20,
         "unserved_per_s": (steady["Refuse"] + steady["Fail"]) / 20,
         "us_per_request": 1e6 * took / steady["requests"],
-        "group_gap_ms": 1000 * members / GROUP / RATE,
+        "checks_per_request": steady["Check"] / steady["requests"],
+        "stale_share": stale_share(members, RATE),
     }
 
 
--- a/benchmarks/scale/slopes/cold.py
+++ b/benchmarks/scale/slopes/cold.py
@@ -11,7 +11,7 @@
 
 
 def _took(members: int, cold: bool) -> float:
-    site = Site(members, members // 2, RATE, "any", 500_000, seed=12, warm_after_us=WARM_US)
+    site = Site(members, members // 2, RATE, {"any": 1}, 500_000, seed=12, warm_after_us=WARM_US)
     site.run(6)
     if cold:
         again = tuple(replace(one, started_us=site.now) for one in entries(members)[GROUP - 1 :: GROUP])
--- a/benchmarks/scale/slopes/grants.py
+++ b/benchmarks/scale/slopes/grants.py
@@ -7,7 +7,7 @@
 from oatlink.fleet.limits.asking import ASK_US
 from oatlink.fleet.limits.home import Home
 from oatlink.fleet.limits.shards import shard_of
-from oatlink.fleet.messages import Demand, Grants, Tell, Want
+from oatlink.fleet.messages import Demand, Effect, Grants, Tell, Want
 
 TENANTS = 4
 ROUNDS = 8
@@ -15,7 +15,7 @@
 
 
 def _run(nodes: int) -> Values:
-    names = [one for at in range(100) if shard_of(one := f"tenant/{at}") == 0][:TENANTS]
+    names = [name for at in range(100) if shard_of(name := f"tenant/{at}") == 0][:TENANTS]
     askers = [f"gw-{at:05}" for at in range(nodes)]
     home = Home(0, dict.fromkeys(names, (50_000.0, 50_000.0, 0.2)), askers)
     now, ask, asked_bytes, given_bytes = 1_000_000_000, 0, 0, 0
@@ -28,19 +28,19 @@
             rate = 100_000.0 / nodes * (0.5 + (at + turn) % 3 / 2)
             ask += 1
             wants.append((node, Want(ask, 0, tuple(Demand(name, rate, serials[node, name]) for name in names))))
-        effects = []
+        effects: list[tuple[str, list[Effect]]] = []
         began = time.process_time()
         for node, want in wants:
             now += ASK_US // nodes
             effects.append((node, home.want(node, want, LEASE_US, now)))
         took.append(time.process_time() - began)
-        for node, some in effects:
+        for node, some in effects:  # one answer to each
             for one in some:
                 assert isinstance(one, Tell) and isinstance(one.message, Grants)
+                given_bytes = HEAD + LEAST + len(encode(one.message))
                 for grant in one.message.grants:
                     serials[node, grant.name] = grant.serial
         asked_bytes = HEAD + LEAST + len(encode(wants[0][1]))
-        given_bytes = HEAD + LEAST + len(encode(effects[0][1][0].message))  # type: ignore[attr-defined]
     middle = sorted(took[2:])[(ROUNDS - 2) // 2]
     return {
         "us_per_grant": 1e6 * middle / nodes / TENANTS,
--- a/benchmarks/scale/slopes/host.py
+++ b/benchmarks/scale/slopes/host.py
@@ -85,7 +85,6 @@
             sock = socket.create_server(("127.0.0.1", 0), backlog=1024)
             sock.setblocking(False)
             self.clients = Clients(sock, 60_000, Asker(), marks, self.keep, lambda text: print(text, file=sys.stderr))
-            self.clients.listen()
 
     def keep(self, task: "asyncio.Future[None]") -> None:
         """Hold a task until it ends."""
@@ -130,6 +129,8 @@
     async def run(self) -> None:
         """Until stdin ends."""
         self.keep(asyncio.ensure_future(self.sweep()))
+        if self.clients is not None:
+            self.clients.listen()
         lines = asyncio.StreamReader()
         await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
         print(self.clients.address[1] if self.clients is not None else 0, flush=True)
--- a/benchmarks/scale/slopes/registers.py
+++ b/benchmarks/scale/slopes/registers.py
@@ -1,12 +1,12 @@
 """A register's changes a second by one writer, by the number of keepers: processes with files and fsync."""
 
+import msgspec
+
 from benchmarks.fleet.host import Ask, Written
 from benchmarks.fleet.site import Site
 from benchmarks.fleet.table import part
 from benchmarks.scale.measure import Measurement, Values
 
-import msgspec
-
 SECONDS = 5.0
 
 
@@ -34,4 +34,4 @@
     }
 
 
-MEASUREMENT = Measurement("registers", "changes of one register by one writer", "keepers", (1, 3, 5, 7), _run)
+MEASUREMENT = Measurement("registers", "changes of one register by one writer", "keepers", (3, 5, 7, 9), _run)
--- a/benchmarks/scale/slopes/spread.py
+++ b/benchmarks/scale/slopes/spread.py
@@ -1,9 +1,9 @@
 """Verdicts of one node by values when so many members are seen to fail in the same second: bytes and time."""
 
 from benchmarks.scale.measure import Measurement, Values
+from oatlink.fleet.envelope import encode
 from oatlink.fleet.messages import Evidence, Gossip, Tell
 from oatlink.fleet.verdicts.spread import ENVELOPE, ROUND_US, Spread
-from oatlink.fleet.envelope import encode
 
 NODES = 3_600
 LONGEST_S = 120
