Capacity: a home's codec and books, a keeper's looks measured by themselves

A look was taken as dear as a change and a home's codec left out: the one too much, the other too little. Checks under other classes are told as they are.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -14,6 +14,7 @@
     grants,
     idle,
     layouts,
+    looks,
     members,
     node,
     registers,
@@ -27,8 +28,8 @@
 MEASUREMENTS = {
     one.MEASUREMENT.name: one.MEASUREMENT
     for one in (
-        calls, checks, clients, cold, cut, failover, grants, idle, layouts, members, node, registers, resp, servers,
-        settings, spread, view,
+        calls, checks, clients, cold, cut, failover, grants, idle, layouts, looks, members, node, registers, resp,
+        servers, settings, spread, view,
     )
 }  # fmt: skip
 
--- a/benchmarks/scale/roles/fleet.py
+++ b/benchmarks/scale/roles/fleet.py
@@ -93,7 +93,7 @@
     ),
     Row(
         ROLE,
-        "change of layout",
+        "steady, once a layout has changed",
         "versions' answers",
         "bytes/s",
         "3.3/s · (a + b · M/G)",
--- a/benchmarks/scale/roles/machines.py
+++ b/benchmarks/scale/roles/machines.py
@@ -26,10 +26,10 @@
     Row(
         K,
         "a home lost",
-        "looks of all nodes at its lease, as dear as a change at most",
+        "looks of all nodes at its lease, sockets left out",
         "ms/s",
-        "N / 1.33 s · time of a change",
-        lambda s, k: s.gateways / LOOK_S * k.mean("registers", "keeper_cpu_us_per_change") / 1000,
+        "N / 1.33 s · (a + b · 5 registers + codec)",
+        lambda s, k: s.gateways / LOOK_S * (k.line("looks", "us_per_look", 5) + k.mean("looks", "wire_us")) / 1000,
         at.CORE_MS_PER_S,
         False,
         "each node looks by itself",
@@ -66,10 +66,17 @@
     Row(
         H,
         "steady",
-        "grants by values",
+        "grants and their codec, sockets left out",
         "ms/s",
-        "N · 4/s · T/4 · (a + b · N)",
-        lambda s, k: s.gateways * ASKS_PER_S * s.tenants / SHARDS * k.line("grants", "us_per_grant", s.gateways) / 1000,
+        "N · 4/s · (T/4 · (a + b · N) + codec · T/16)",
+        lambda s, k: (
+            s.gateways
+            * ASKS_PER_S
+            * s.tenants
+            / SHARDS
+            * (k.line("grants", "us_per_grant", s.gateways) + k.mean("grants", "wire_us") / 4)
+            / 1000
+        ),
         at.CORE_MS_PER_S,
         False,
         "each node asks each home",
@@ -87,6 +94,17 @@
         "each node asks each home",
         "division in levels: a relay asks once for its zone",
     ),
+    Row(
+        H,
+        "steady",
+        "memory of its books",
+        "MB",
+        "T/16 · (a + b · N), four tenants measured",
+        lambda s, k: s.tenants / SHARDS / 4 * k.line("grants", "book_kb", s.gateways) / 1000,
+        None,
+        True,
+        "a row a node that asks",
+    ),
     Row(
         H,
         "steady",
@@ -104,7 +122,7 @@
 SEQUENCER = (
     Row(
         Q,
-        "steady",
+        "steady, once a layout has changed",
         "answers to all nodes",
         "ms/s",
         "N · 3.3/s · (a + b · M/G)",
@@ -118,7 +136,7 @@
     ),
     Row(
         Q,
-        "steady",
+        "steady, once a layout has changed",
         "bytes of these",
         "bytes/s",
         "N · 3.3/s · (a + b · M/G)",
--- a/benchmarks/scale/slopes/grants.py
+++ b/benchmarks/scale/slopes/grants.py
@@ -1,8 +1,10 @@
 """A home by values: grants a second of processor time by the number of nodes that ask, four tenants active."""
 
 import time
+import tracemalloc
 
 from benchmarks.scale.measure import Measurement, Values
+from benchmarks.scale.wire import wire_us
 from oatlink.fleet.envelope import HEAD, LEAST, encode
 from oatlink.fleet.limits.asking import ASK_US
 from oatlink.fleet.limits.home import Home
@@ -17,7 +19,15 @@
 def _run(nodes: int) -> Values:
     names = [name for at in range(100) if shard_of(name := f"tenant/{at}") == 0][:TENANTS]
     askers = [f"gw-{at:05}" for at in range(nodes)]
+    home_of_all = Home(0, dict.fromkeys(names, (50_000.0, 50_000.0, 0.2)), askers)
+    home_of_all.began(1, 1_000_000_000)
     home = Home(0, dict.fromkeys(names, (50_000.0, 50_000.0, 0.2)), askers)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for at, node in enumerate(askers):  # once alone, for what a home keeps of all that ask
+        home_of_all.want(node, Want(at, 0, tuple(Demand(name, 1.0) for name in names)), LEASE_US, 1_000_000_000)
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
     now, ask, asked_bytes, given_bytes = 1_000_000_000, 0, 0, 0
     home.began(1, now)
     serials = dict.fromkeys(((node, name) for node in askers for name in names), 0)
@@ -41,10 +51,14 @@
                 for grant in one.message.grants:
                     serials[node, grant.name] = grant.serial
         asked_bytes = HEAD + LEAST + len(encode(wants[0][1]))
+    question, answer = wants[0][1], effects[0][1][0]
+    assert isinstance(answer, Tell) and isinstance(answer.message, Grants)
     middle = sorted(took[2:])[(ROUNDS - 2) // 2]
     return {
         "us_per_grant": 1e6 * middle / nodes / TENANTS,
         "grants_per_cpu_s": nodes * TENANTS / middle,
+        "wire_us": wire_us(question, answer.message),
+        "book_kb": (kept - before) / 1000,
         "asks_per_s": nodes * 1e6 / ASK_US,
         "want_bytes": asked_bytes,
         "grants_bytes": given_bytes,
