--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -17,6 +17,7 @@
     looks,
     members,
     node,
+    process,
     registers,
     resp,
     servers,
@@ -28,8 +29,8 @@
 MEASUREMENTS = {
     one.MEASUREMENT.name: one.MEASUREMENT
     for one in (
-        calls, checks, clients, cold, cut, failover, grants, idle, layouts, looks, members, node, registers, resp,
-        servers, settings, spread, view,
+        calls, checks, clients, cold, cut, failover, grants, idle, layouts, looks, members, node, process, registers,
+        resp, servers, settings, spread, view,
     )
 }  # fmt: skip
 
--- a/benchmarks/scale/roles/platform.py
+++ b/benchmarks/scale/roles/platform.py
@@ -24,6 +24,11 @@
     return max(clients, servers) + 24
 
 
+def _swept(busy_ms: float) -> float:
+    """What sweeps take of a second, where ten without a rest would take so much: each is followed by its rest."""
+    return 1000 * busy_ms / (1000 + busy_ms)
+
+
 def _cold_ms(size: Size, k: Reading, cold: float) -> float:
     share = 1 - math.exp(-cold / size.groups)
     return size.rate * share * k.line("cold", "more_us_per_request", size.databases) / 1000
@@ -69,39 +74,53 @@
     Row(
         ROLE,
         "steady",
-        "sweeps of connections to databases, none open",
+        "sweeps, no connection open, by values",
         "ms/s",
-        "a + b · M",
-        lambda s, k: k.line("members", "sweep_cpu_ms_per_s", s.databases),
+        "t / (0.1 s + t), t = a + b · M a sweep",
+        lambda s, k: _swept(k.line("members", "sweep_cpu_ms_per_s", s.databases)),
         at.CPU_MS_PER_S,
         True,
-        "all pools ten times a second",
+        "all pools, then 0.1 s of rest",
         OWN,
     ),
     Row(
         ROLE,
         "steady",
-        "sweeps of connections to databases, as open as they are",
+        "a real process that nobody asks",
         "ms/s",
-        "a + b · M · share open",
-        lambda s, k: k.line("servers", "idle_cpu_ms_per_s", s.databases * open_share(s)),
+        "a + b · M",
+        lambda s, k: k.line("process", "idle_cpu_ms_per_s", s.databases),
         at.CPU_MS_PER_S,
         True,
-        "all pools ten times a second",
+        "sweeps and the line of state",
         OWN,
     ),
     Row(
         ROLE,
         "steady",
-        "sweeps of clients",
+        "sweeps of connections and clients, as open as they are",
         "ms/s",
-        "a + b · C/N",
-        lambda s, k: k.line("clients", "idle_cpu_ms_per_s", s.clients / s.gateways),
+        "t / (0.1 s + t), t = a + b · M · share open + c + d · C/N",
+        lambda s, k: _swept(
+            k.line("servers", "idle_cpu_ms_per_s", s.databases * open_share(s))
+            + k.line("clients", "idle_cpu_ms_per_s", s.clients / s.gateways)
+        ),
         at.CPU_MS_PER_S,
         True,
-        "all clients ten times a second",
+        "all pools and clients, then 0.1 s of rest",
         OWN,
     ),
+    Row(
+        ROLE,
+        "steady",
+        "resident memory of a process that nobody asks",
+        "MB",
+        "a + b · M",
+        lambda s, k: k.line("process", "resident_mb", s.databases),
+        at.MEMORY_MB,
+        True,
+        "whole list in each",
+    ),
     Row(
         ROLE,
         "steady",
@@ -152,8 +171,11 @@
         "steady",
         "line of state in the log",
         "bytes/s",
-        "(a + b · M) / 10 s",
-        lambda s, k: k.line("members", "state_line_bytes", s.databases) / 10,
+        "(a + b · M) / 100 sweeps with their rests",
+        lambda s, k: (
+            k.line("members", "state_line_bytes", s.databases)
+            / (10 + k.line("members", "sweep_cpu_ms_per_s", s.databases) / 100)
+        ),
         at.BYTES_PER_S,
         False,
         "names every member",
--- a/benchmarks/scale/slopes/calls.py
+++ b/benchmarks/scale/slopes/calls.py
@@ -14,32 +14,52 @@
 CALLS = 40
 
 
-class _Discovery(threading.Thread):
-    """Answers every call with the same list, from a thread of its own; counts what crosses."""
+class Discovery(threading.Thread):
+    """Answers every call with the same list, from a thread of its own; counts what crosses.
 
-    def __init__(self, servers: int) -> None:
+    `waits`: a watch of who has the list is answered with no change once its time is up.
+    """
+
+    def __init__(self, servers: int, waits: bool = False) -> None:
         super().__init__(daemon=True)
-        self.body = page(servers)
+        self.body, self._waits = page(servers), waits
         self.port = self.came = self.sent = 0
         self.ready = threading.Event()
         self.loop: asyncio.AbstractEventLoop | None = None
 
     def run(self) -> None:
+        """See `Thread`."""
         with contextlib.suppress(RuntimeError, asyncio.CancelledError):
             asyncio.run(self._serve())
 
+    def begin(self) -> None:
+        """Listen; its port is known then."""
+        self.start()
+        self.ready.wait()
+
+    def end(self) -> None:
+        """Answer no more."""
+        assert self.loop is not None
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
     async def _serve(self) -> None:
         self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(lambda loop, context: None)  # calls that its end cut off
         server = await asyncio.start_server(self._one, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
         self.ready.set()
         await server.serve_forever()
 
     async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.came += len(await reader.readuntil(b"\r\n\r\n"))
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(self.body)}\r\n\r\n".encode()
-        self.sent += len(head) + len(self.body)
-        writer.write(head + self.body)
+        asked = await reader.readuntil(b"\r\n\r\n")
+        self.came += len(asked)
+        body = self.body
+        if self._waits and b"since=1&" in asked:
+            await asyncio.sleep(int(asked.partition(b"timeout_ms=")[2].split()[0]) / 1000)
+            body = b'{"version":1,"full":false,"servers":[]}'
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        self.sent += len(head) + len(body)
+        writer.write(head + body)
         with contextlib.suppress(ConnectionError):
             await writer.drain()
         writer.close()
@@ -63,12 +83,10 @@
 
 
 def _run(servers: int) -> Values:
-    discovery = _Discovery(servers)
-    discovery.start()
-    discovery.ready.wait()
+    discovery = Discovery(servers)
+    discovery.begin()
     took = asyncio.run(_calls(discovery.port))
-    assert discovery.loop is not None
-    discovery.loop.call_soon_threadsafe(discovery.loop.stop)
+    discovery.end()
     return {
         "call_ms": 1000 * took / CALLS,
         "bytes_out": discovery.came / (CALLS + 1),
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import re
 from pathlib import Path
 
 import pytest
@@ -29,6 +30,17 @@
         assert page.put(text, name, part) == text, f"{name}: run python -m benchmarks.scale capacity --page"
 
 
+def test_each_factor_of_the_list_written_by_hand_is_one_of_a_row() -> None:
+    text = page.PAGE.read_text()
+    listed = text[text.index("\n## What is missing, in order") : text.index("<!-- ranking")]
+    said = re.findall(r"\((\d+(?:\.\d+)?)|(?<= )(\d+(?:\.\d+)?) (?:at|with|by|as)\b", listed)
+    factors = [work(row, Size(), SLOPES).factor or 0 for row in ROWS]
+    for one in filter(None, (a or b for a, b in said)):
+        digits = len(one.partition(".")[2])
+        assert float(one) in [round(factor, digits) for factor in factors if math.isfinite(factor)], one
+    assert len(said) > 15
+
+
 @pytest.mark.parametrize("row", ROWS, ids=lambda row: f"{row.role}: {row.event}: {row.what}")
 def test_each_row_rests_on_a_slope_or_names_what_it_is_counted_from(row: Row) -> None:
     worked = work(row, Size(), SLOPES)
