--- a/oatlink/lab/scale/judge.py
+++ b/oatlink/lab/scale/judge.py
@@ -4,8 +4,8 @@
 to an older version breaks a rule, whatever the times are.
 """
 
-from collections.abc import Iterable
-from typing import NamedTuple
+import math
+from collections import Counter
 
 import msgspec
 
@@ -69,53 +69,71 @@
     lines: dict[str, list[tuple[int, float]]] = {}
 
 
-class Way(NamedTuple):
-    """One change at one gateway: offered when, in force when (-1: never), by simulated time."""
-
-    change: str
-    gateway: int
-    offered_us: int
-    in_force_us: int
-
-
-def in_force(what: str, ways: Iterable[Way]) -> InForce:
-    """Judge one kind of change."""
-    ways = list(ways)
-    changes = {way.change for way in ways}
-    never = [way for way in ways if way.in_force_us < 0]
-    everywhere = len(changes - {way.change for way in never})
-    took = sorted((way.in_force_us - way.offered_us) / 1e6 for way in ways if way.in_force_us >= 0)
-    whole = not never and bool(took)
-    late = sorted({f"gateway {way.gateway}" for way in never})[:MOST_NAMED]
-    return InForce(
-        what,
-        len(changes),
-        everywhere,
-        took[-1] if whole else None,
-        took[len(took) // 2] if took else None,
-        took[min(len(took) - 1, len(took) * 99 // 100)] if whole else None,
-        round(len(took) / len(ways), 4) if ways else 0.0,
-        tuple(late),
-    )
-
+class Waits:
+    """How long each of many took, as counts by length. What is expected and never seen was never in force."""
 
-def peaks(tally: Tally, size: Size) -> list[Peak]:
-    """The worst second of each kind at one gateway, the mean database, discovery, the mean of the six machines."""
+    def __init__(self) -> None:
+        self._took: Counter[int] = Counter()
+        self._open: dict[str, int] = {}
+        self._expected = 0
+        self._late: dict[str, None] = {}
+
+    def expect(self, change: str, at: int) -> None:
+        """A change that so many are to go by."""
+        self._open[change] = self._open.get(change, 0) + at
+        self._expected += at
+
+    def saw(self, change: str, wait_us: int) -> None:
+        """One of them goes by it, so long after the offer."""
+        self._open[change] -= 1
+        self._took[wait_us] += 1
+
+    def name(self, late: str) -> None:
+        """One that is late."""
+        if len(self._late) < MOST_NAMED:
+            self._late[late] = None
+
+    def judged(self, what: str) -> InForce:
+        """What came of it."""
+        seen = sum(self._took.values())
+        whole = 0 < seen == self._expected
+        return InForce(
+            what,
+            len(self._open),
+            sum(one == 0 for one in self._open.values()),
+            self._part(1.0) if whole else None,
+            self._part(0.5) if seen else None,
+            self._part(0.99) if whole else None,
+            round(seen / self._expected, 4) if self._expected else 0.0,
+            tuple(self._late),
+        )
+
+    def _part(self, share: float) -> float:
+        left = math.ceil(share * sum(self._took.values()))
+        for wait_us in sorted(self._took):
+            left -= self._took[wait_us]
+            if left <= 0:
+                return wait_us / 1e6
+        return math.inf
+
+
+def peaks(tally: Tally, size: Size, since_s: int = 0) -> list[Peak]:
+    """The worst second of each kind from then on: one gateway, the mean database, discovery, the mean of the six."""
     found = []
     for role, kind in KINDS:
-        worst = tally.worst_one(role, kind)
+        worst = tally.worst_one(role, kind, since_s)
         if worst.amount:
             found.append(Peak(role, kind, round(worst.amount, 1), worst.second))
     for kind in AT_DATABASES:
-        worst = tally.worst_all("gateway", kind)
+        worst = tally.worst_all("gateway", kind, since_s)
         if worst.amount:
             found.append(Peak("database", kind, round(worst.amount / size.databases, 1), worst.second))
     for kind in ("calls", "bytes"):
-        worst = tally.worst_all(DISCOVERY, kind)
+        worst = tally.worst_all(DISCOVERY, kind, since_s)
         if worst.amount:
             found.append(Peak(DISCOVERY, kind, round(worst.amount, 1), worst.second))
     for kind in ("control bytes", "control messages"):
-        worst = tally.worst_all("six", kind)
+        worst = tally.worst_all("six", kind, since_s)
         found.append(Peak("one of six", kind, round(worst.amount / SIX, 1), worst.second))
     return found
 
--- a/oatlink/lab/scale/scenarios/__init__.py
+++ b/oatlink/lab/scale/scenarios/__init__.py
@@ -3,11 +3,17 @@
 from collections.abc import Callable
 
 from oatlink.lab.scale.judge import Finding
-from oatlink.lab.scale.scenarios import start
+from oatlink.lab.scale.scenarios import changes, primaries, region, release, start, zone
 from oatlink.lab.scale.stage import Order
 
 Play = Callable[[Order], Finding]
 
 PLAYS: dict[str, Play] = {
     "start": start.play,
+    "release": release.play,
+    "zone": zone.play,
+    "region": region.play,
+    "primaries": primaries.play,
+    "changes-day": changes.day,
+    "changes-minute": changes.minute,
 }
--- a/oatlink/lab/scale/stage.py
+++ b/oatlink/lab/scale/stage.py
@@ -59,8 +59,8 @@
         self.gateways += made
         return made
 
-    def finding(self, scenario: str, steady_from_s: int, until_s: int) -> Finding:
-        """What there is to say of it, but for what only the scenario knows."""
+    def finding(self, scenario: str, steady_from_s: int, until_s: int, event_s: int = 0) -> Finding:
+        """What there is to say of it, but for what only the scenario knows. `event_s`: nothing before it counts."""
         size, tally = self.size, self.tally
         found = Finding(
             f"{scenario}",
@@ -70,8 +70,8 @@
             self.carrier.name,
             f"{len(self.gateways)} whole Routers, {self.order.traffic.name}",
             self.time.now / SECOND_US,
-            peaks=peaks(tally, size),
-            starved=starved(tally, 0, until_s),
+            peaks=peaks(tally, size, event_s),
+            starved=starved(tally, event_s, until_s),
             broken=list(self.forward.broken),
         )
         seconds = max(1, until_s - steady_from_s)
--- a/oatlink/lab/scale/tally.py
+++ b/oatlink/lab/scale/tally.py
@@ -35,15 +35,19 @@
         """So much came to all of a role together."""
         self._all[role, kind][at_us // SECOND_US] += amount
 
-    def worst_one(self, role: str, kind: str) -> Worst:
-        """The most that one of them had in a second."""
-        found = [(max(ones.values()), -second) for second, ones in self._ones.get((role, kind), {}).items()]
+    def worst_one(self, role: str, kind: str, since_s: int = 0) -> Worst:
+        """The most that one of them had in a second, from then on."""
+        found = [
+            (max(ones.values()), -second)
+            for second, ones in self._ones.get((role, kind), {}).items()
+            if second >= since_s
+        ]
         most, second = max(found, default=(0.0, 0))
         return Worst(most, -second)
 
-    def worst_all(self, role: str, kind: str) -> Worst:
-        """The most that all of them had in a second."""
-        found = [(amount, -second) for second, amount in self._all.get((role, kind), {}).items()]
+    def worst_all(self, role: str, kind: str, since_s: int = 0) -> Worst:
+        """The most that all of them had in a second, from then on."""
+        found = [(amount, -second) for second, amount in self._all.get((role, kind), {}).items() if second >= since_s]
         most, second = max(found, default=(0.0, 0))
         return Worst(most, -second)
 
