Fleet's cores hollow: idle, verdicts, old news, twins; tables, plots, real; tests of the judge

Need: membership and verdicts at 3,600, and a judge that is seen to fail. Change: real View, Spread and Door by values; whole nodes at 300 and 900, sampled above; a carrier of the tests' own, spoilt in four ways.

--- a/benchmarks/scale/hollow/__main__.py
+++ b/benchmarks/scale/hollow/__main__.py
@@ -3,6 +3,8 @@
 import click
 
 from benchmarks.scale.hollow.play import play
+from benchmarks.scale.hollow.real import real
+from benchmarks.scale.hollow.report import report
 
 
 @click.group()
@@ -10,7 +12,8 @@
     """Scenarios at size by hollow gateways and databases."""
 
 
-hollow.add_command(play)
+for one in (play, report, real):
+    hollow.add_command(one)
 
 if __name__ == "__main__":
     hollow()
--- a/oatlink/lab/scale/judge.py
+++ b/oatlink/lab/scale/judge.py
@@ -21,6 +21,7 @@
     ("gateway", "discovery calls"),
     ("gateway", "fleet bytes"),
     ("gateway", "fleet messages"),
+    ("gateway", "fleet dials"),
     ("gateway", "control bytes"),
     ("gateway", "control messages"),
 )
--- a/oatlink/lab/scale/scenarios/__init__.py
+++ b/oatlink/lab/scale/scenarios/__init__.py
@@ -3,7 +3,18 @@
 from collections.abc import Callable
 
 from oatlink.lab.scale.judge import Finding
-from oatlink.lab.scale.scenarios import changes, primaries, region, release, start, zone
+from oatlink.lab.scale.scenarios import (
+    changes,
+    idle,
+    old_news,
+    primaries,
+    region,
+    release,
+    start,
+    twins,
+    verdicts,
+    zone,
+)
 from oatlink.lab.scale.stage import Order
 
 Play = Callable[[Order], Finding]
@@ -14,6 +25,10 @@
     "zone": zone.play,
     "region": region.play,
     "primaries": primaries.play,
+    "idle": idle.play,
+    "verdicts": verdicts.play,
+    "old-news": old_news.play,
+    "twins": twins.play,
     "changes-day": changes.day,
     "changes-minute": changes.minute,
 }
--- a/oatlink/lab/scale/wire.py
+++ b/oatlink/lab/scale/wire.py
@@ -42,9 +42,9 @@
     return envelope.HEAD + envelope.NUMBER + len(envelope.encode(message)) + envelope.TAG
 
 
-def hello_bytes() -> int:
-    """What a dialler writes first."""
-    hello = envelope.Hello(VERSION, NAME, 1 << 47, HASH, NAME)
+def hello_bytes(name: str = NAME) -> int:
+    """What a dialler writes first, where names are as long as this one."""
+    hello = envelope.Hello(VERSION, name, 1 << 47, HASH, name)
     return envelope.HEAD + envelope.NUMBER + len(envelope.encode(hello)) + envelope.TAG
 
 
