--- a/oatlink/lab/scale/scenarios/__init__.py
+++ b/oatlink/lab/scale/scenarios/__init__.py
@@ -6,6 +6,7 @@
 from oatlink.lab.scale.scenarios import (
     changes,
     idle,
+    limits,
     old_news,
     primaries,
     region,
@@ -29,6 +30,7 @@
     "verdicts": verdicts.play,
     "old-news": old_news.play,
     "twins": twins.play,
+    "limits": limits.play,
     "changes-day": changes.day,
     "changes-minute": changes.minute,
 }
