--- a/oatlink/lab/scale/gateway.py
+++ b/oatlink/lab/scale/gateway.py
@@ -66,6 +66,7 @@
         self.router = Router(settings(number, estate.size.gateways, seed))
         self.statements_s = float(STATEMENTS_S)
         self.unserved = 0
+        self.watched: dict[int, str] = {}  # databases whose checks are counted apart, by what they have in common
         self._traffic = traffic
         self._linked: set[int] = set()
         self._sent: dict[str, int] = {}  # how many attempts of each request
@@ -142,6 +143,8 @@
             elif isinstance(one, api.Check):
                 self._count("checks")
                 self._count("check bytes", CHECK_BYTES)
+                if one.member in self.watched:
+                    self._count(f"checks of {self.watched[one.member]}")
                 well, wait_us = self._reach(one.member, 0)
                 self._time.after(wait_us, self._checked, one.member, now, well)
             elif isinstance(one, api.SetTimer):
--- a/oatlink/lab/scale/scenarios/primaries.py
+++ b/oatlink/lab/scale/scenarios/primaries.py
@@ -1,12 +1,12 @@
 """A day's 13 changes of primary, one each half second, each without a primary for three seconds."""
 
 from oatlink.lab.scale.estate import Plan
-from oatlink.lab.scale.judge import Finding, Waits
+from oatlink.lab.scale.judge import Finding, Peak, Waits
 from oatlink.lab.scale.lines import at
 from oatlink.lab.scale.size import GROUP
 from oatlink.lab.scale.stage import Order, Stage, spread
 from oatlink.lab.scale.tally import SECOND_US
-from oatlink.rules import due, primaries
+from oatlink.rules import checks, router
 
 CHANGES, FIRST_S, GAP_US, WITHOUT_US, AFTER_S = 13, 6, 500_000, 3_000_000, 10
 LOOK_US = 100_000
@@ -19,6 +19,9 @@
     stage = Stage(order, Plan(primaries={group: (lost, lost + WITHOUT_US) for group, lost in times}))
     numbers = spread(range(order.size.gateways), order.routers)
     gateways = stage.seat(numbers, order.size.gateways)
+    watched = {group * GROUP + place: f"group {group}" for group in groups for place in range(GROUP)}
+    for one in gateways:
+        one.watched = watched
     waits = Waits()
     for group, _ in times:
         waits.expect(f"group {group}", len(gateways))
@@ -39,8 +42,10 @@
     for group, number in still:
         waits.name(f"gateway {number}, group {group}")
     found.in_force.append(waits.judged("new primaries gone by"))
+    asked = max(stage.tally.worst_all("gateway", f"checks of group {group}", FIRST_S).amount for group in groups)
+    found.peaks.append(Peak("database of a group without primary", "checks", round(asked / GROUP, 1), 0))
     found.notes.append(
-        f"each gateway finds a new primary by its own questions ({at(primaries.hear)}, {at(due.plan)}), so "
-        "each group that lost one is asked by all gateways"
+        f"while a request waits for a primary each gateway asks all members of the group each half second "
+        f"({at(router._look, 'check_all')}, {at(checks.check_all)}), so a group is asked by all gateways at once"
     )
     return found
--- a/oatlink/lab/scale/scenarios/zone.py
+++ b/oatlink/lab/scale/scenarios/zone.py
@@ -4,7 +4,7 @@
 from oatlink.lab.scale.carrier import Scope
 from oatlink.lab.scale.estate import Plan
 from oatlink.lab.scale.gateway import Gateway
-from oatlink.lab.scale.judge import Finding, Waits
+from oatlink.lab.scale.judge import Finding, Peak, Waits
 from oatlink.lab.scale.lines import at
 from oatlink.lab.scale.size import gateway_zone
 from oatlink.lab.scale.stage import Order, Stage, spread
@@ -32,10 +32,15 @@
     _restarts(stage, watch, inside, lost_us, back_us)
     stage.time.at((lost_us + back_us) // 2, watch.offer, EVERYBODY, b"x" * 200)
     gone = [one for one in range(order.size.databases) if stage.estate.zones[one] == ZONE]
+    for one in stage.gateways:
+        one.watched = dict.fromkeys(gone, "the lost zone")
     held_back = _wait_for(stage, others, gone, lost_us, back_us, True)
     used = _wait_for(stage, others, gone, back_us, end_s * SECOND_US, False)
     stage.time.run(end_s * SECOND_US)
     found = stage.finding("zone", lost_s, back_s, lost_s)
+    for name, since_s in (("that is gone", lost_s), ("that came back", back_s)):
+        worst = stage.tally.worst_all("gateway", "checks of the lost zone", since_s)
+        found.peaks.append(Peak(f"database {name}", "checks", round(worst.amount / max(1, len(gone)), 1), worst.second))
     found.in_force += [
         held_back.judged("lost databases noticed and held back"),
         used.judged("databases that came back known again"),
@@ -43,7 +48,7 @@
     ]
     found.notes += [
         f"each gateway finds each lost database by itself, by a request that fails ({at(outcomes._learn, 'RESET')}), "
-        "(never, where it sent nothing there meanwhile), "
+        "never where it sent nothing there meanwhile, "
         f"and asks it again ever more rarely, at most each 8 s ({at(checks._check_unknown)}), one of every gateway",
     ]
     return found
