A connection's pipeline takes lists and slots, not deques: 8.4 KB a connection, not 9.9

Seen: the slope of client connections grew from 7.0 to 9.9 KB a connection with the pipeline (800 idle ones, loopback, shared machine). Cause: an empty deque holds a block of 64 places, and two of them stood in each. Lines are bounded and short.

--- a/oatlink/platform/clients/pipeline.py
+++ b/oatlink/platform/clients/pipeline.py
@@ -9,7 +9,6 @@
 asked after that one's answer. Here: order, room, and when a command came. Who serves it is decided elsewhere.
 """
 
-from collections import deque
 from dataclasses import dataclass, field
 
 SLACK_US = 50_000  # between a client's clock and ours: the protocol extends every time limit by as much
@@ -39,9 +38,11 @@
 class Arrivals:
     """When the bytes of a stream came, so that each command is timed by its own last byte."""
 
+    __slots__ = ("_fed", "_marks")
+
     def __init__(self) -> None:
         self._fed = 0
-        self._marks: deque[tuple[int, int]] = deque()  # up to this many bytes had come then
+        self._marks: list[tuple[int, int]] = []  # up to this many bytes had come then; short, and small when empty
 
     def came(self, size: int, at_us: int) -> None:
         """So many bytes more."""
@@ -53,7 +54,7 @@
     def last_us(self, pending: int) -> int:
         """When the last byte came of what has been taken, with so many bytes still pending."""
         while len(self._marks) > 1 and self._marks[0][0] < self._fed - pending:
-            self._marks.popleft()
+            del self._marks[0]
         return self._marks[0][1]
 
 
@@ -103,10 +104,12 @@
 class Pipeline:
     """What one connection has asked and not been answered, in order."""
 
+    __slots__ = ("_behind", "_held", "_line", "_names", "_room", "open")
+
     def __init__(self, room: Room) -> None:
         self._room = room
         self.open: dict[Command, None] = {}  # without an answer
-        self._line: deque[Command] = deque()
+        self._line: list[Command] = []
         self._names: dict[bytes, _Name] = {}
         self._held = 0
         self._behind = 0  # places taken in the room
@@ -163,7 +166,7 @@
         while self._line and (answer := self._line[0].answer) is not None:
             if data and len(data) + len(answer) > WRITTEN_BYTES:
                 break
-            self._line.popleft()
+            del self._line[0]
             data += answer
         self._held -= len(data)
         self._settle()
