Capacity: a column for what the stream of control will make of each row

The mechanism to come is to stand in the same table, before and after. Rows that it carries have a second formula over its own measurement; until that is kept they say so.

--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -44,4 +44,5 @@
 
 
 for _one in fields(Size):
-    capacity.params.append(click.Option([f"--{_one.name}"], type=float, default=_one.default, show_default=True))
+    _name = f"--{_one.name.replace('_', '-')}"
+    capacity.params.append(click.Option([_name], type=float, default=_one.default, show_default=True))
--- a/benchmarks/scale/roles/control.py
+++ b/benchmarks/scale/roles/control.py
@@ -1,23 +1,42 @@
-"""The six machines once they carry the stream of control: nothing today. Figures come with its measurement, `control`.
+"""The six machines once they carry the stream of control, and what its readers have of it. Nothing is there today.
 
-`control` (docs/measurements/scale/control.json) is to have, by the number of readers at one relay: `idle_bytes_per_s`
-(one reader, both ways), `change_bytes`, `snapshot_bytes_per_entry`, `us_per_change` (one reader at its relay) and
-`in_force_ms` (from the change's commit to the last reader, one level).
+Figures come with the stream's own measurement, `control` (docs/measurements/scale/control.json, a module of `slopes`),
+by the number of readers at one relay. It is to have the values named in `VALUES`; until it is kept all these rows, and
+the column `after` of the others, say `not measured`.
 """
 
 from benchmarks.scale import size as at
 from benchmarks.scale.reading import Reading
-from benchmarks.scale.row import Row
+from benchmarks.scale.row import Figure, Row
 from benchmarks.scale.size import Size
 
 ROLE = "The six machines"
-FAN_OUT = 60.0  # readers at one relay
 NAME = "control"
+VALUES = (
+    "idle_bytes_per_s",  # one reader, both ways
+    "idle_cpu_ms_per_s",  # one reader
+    "memory_kb",  # one reader, with all that it keeps
+    "change_bytes",  # one change at one reader
+    "snapshot_bytes_per_entry",
+    "us_per_change",  # at a relay, one reader
+    "in_force_ms",  # one level: from a change's coming to a relay until its last reader has it
+    "missed_after_s",  # until all know that a node has gone
+)
+
+
+def in_force_s(size: Size, k: Reading) -> float:
+    """Until a change is in force everywhere."""
+    return size.levels * k.line(NAME, "in_force_ms", size.fan_out) / 1000
+
+
+def reader(value: str) -> Figure:
+    """A value of one reader, the same in any fleet."""
+    return lambda size, k: k.mean(NAME, value)
 
 
 def relays(size: Size) -> float:
     """Relays below the six, with so many readers each."""
-    return size.gateways / FAN_OUT
+    return size.gateways / size.fan_out
 
 
 def _start(size: Size, k: Reading) -> float:
@@ -30,7 +49,7 @@
         "steady",
         "heartbeats to relays, all six",
         "bytes/s",
-        "N/60 · bytes of one reader",
+        "N / fan-out · bytes of one reader",
         lambda s, k: relays(s) * k.mean(NAME, "idle_bytes_per_s"),
         at.MACHINE_BYTES_PER_S,
         False,
@@ -52,10 +71,10 @@
     Row(
         ROLE,
         "change of configuration",
-        "until in force, two levels",
+        "until in force",
         "s",
-        "2 · one level, 60 readers",
-        lambda s, k: 2 * k.line(NAME, "in_force_ms", FAN_OUT) / 1000,
+        "levels · (a + b · fan-out)",
+        in_force_s,
         at.IN_FORCE_S,
         True,
         "none",
@@ -66,8 +85,8 @@
         "change of configuration",
         "at one relay",
         "ms",
-        "60 · time of a change",
-        lambda s, k: FAN_OUT * k.mean(NAME, "us_per_change") / 1000,
+        "fan-out · time of a change",
+        lambda s, k: s.fan_out * k.mean(NAME, "us_per_change") / 1000,
         at.CORE_MS_PER_S,
         False,
         "none",
@@ -78,7 +97,7 @@
         "common start",
         "snapshots to relays, all six",
         "bytes",
-        "N/60 · M · bytes of an entry",
+        "N / fan-out · M · bytes of an entry",
         _start,
         at.MACHINE_BYTES_PER_S,
         False,
--- a/benchmarks/scale/roles/fleet.py
+++ b/benchmarks/scale/roles/fleet.py
@@ -4,6 +4,7 @@
 
 from benchmarks.scale import size as at
 from benchmarks.scale.reading import Reading
+from benchmarks.scale.roles import control
 from benchmarks.scale.row import Row
 from benchmarks.scale.size import Size
 from oatlink.fleet.membership.view import MOST_WORDS
@@ -43,6 +44,7 @@
         True,
         "gossip of everybody",
         "membership by the stream: own zone only",
+        after=control.reader("idle_bytes_per_s"),
     ),
     Row(
         ROLE,
@@ -55,6 +57,7 @@
         True,
         "gossip of everybody",
         "membership by the stream: own zone only",
+        after=control.reader("idle_cpu_ms_per_s"),
     ),
     Row(
         ROLE,
@@ -66,6 +69,7 @@
         at.MEMORY_MB,
         True,
         "all names in each",
+        after=lambda s, k: k.mean(control.NAME, "memory_kb") / 1000,
     ),
     Row(
         ROLE,
@@ -78,6 +82,7 @@
         False,
         "a link closed after 30 s without a word",
         "one upstream and a spare",
+        after=lambda s, k: 2.0,
     ),
     Row(
         ROLE,
@@ -105,6 +110,7 @@
         True,
         "the whole state in each answer",
         STREAM + ": changes by group",
+        after=control.reader("idle_bytes_per_s"),
     ),
     Row(
         ROLE,
@@ -117,6 +123,7 @@
         False,
         "gossip of everybody",
         "leases at the six machines, told by the stream",
+        after=control.reader("missed_after_s"),
     ),
     Row(
         ROLE,
@@ -129,6 +136,7 @@
         True,
         "gossip under a ceiling",
         "one word for a zone; sums go up",
+        after=control.reader("change_bytes"),
     ),
     Row(
         ROLE,
@@ -153,6 +161,7 @@
         True,
         "a file and a restart, by hand",
         STREAM,
+        after=control.reader("change_bytes"),
     ),
     Row(
         ROLE,
@@ -166,5 +175,6 @@
         "none",
         STREAM,
         "the hash in each greeting: settings.fleet.fleet_hash",
+        after=control.in_force_s,
     ),
 )
--- a/benchmarks/scale/roles/machines.py
+++ b/benchmarks/scale/roles/machines.py
@@ -1,6 +1,7 @@
 """What runs on the six machines as it is today: keepers, homes, the sequencer; a process each."""
 
 from benchmarks.scale import size as at
+from benchmarks.scale.roles import control
 from benchmarks.scale.roles.fleet import ASKS_PER_S, tenant_bytes
 from benchmarks.scale.row import Row
 from oatlink.fleet.limits.shards import SHARDS
@@ -47,6 +48,7 @@
         "the oldest go, and dial again within 2 s",
         "only relays dial; theirs are few",
         "the bound is the code's own: fleet.shell.door.MOST_UNPROVED",
+        after=lambda s, k: control.relays(s),
     ),
     Row(
         K,
@@ -133,6 +135,7 @@
         False,
         "each node asks the sequencer",
         "stream of control: changes by group",
+        after=lambda s, k: control.relays(s) * k.mean(control.NAME, "us_per_change") / 1000,
     ),
     Row(
         Q,
--- a/benchmarks/scale/roles/platform.py
+++ b/benchmarks/scale/roles/platform.py
@@ -4,6 +4,7 @@
 
 from benchmarks.scale import size as at
 from benchmarks.scale.reading import Reading
+from benchmarks.scale.roles import control
 from benchmarks.scale.roles.shared import check_bytes, checks, list_bytes, open_share
 from benchmarks.scale.row import Row
 from benchmarks.scale.size import Size
@@ -375,5 +376,6 @@
         "none",
         "stream of control",
         "a file and SIGHUP: platform.gateway",
+        after=control.in_force_s,
     ),
 )
--- a/benchmarks/scale/roles/resp.py
+++ b/benchmarks/scale/roles/resp.py
@@ -3,6 +3,7 @@
 import math
 
 from benchmarks.scale import size as at
+from benchmarks.scale.roles import control
 from benchmarks.scale.row import Row
 
 ROLE = "RESP gateway without a fleet"
@@ -79,5 +80,6 @@
         "none",
         "stream of control",
         "a file and SIGHUP: gateway.server",
+        after=control.in_force_s,
     ),
 )
--- a/benchmarks/scale/row.py
+++ b/benchmarks/scale/row.py
@@ -29,6 +29,7 @@
     today: str = ""
     will: str = ""
     counted: str = ""  # where nothing is measured: from which constant of the code it is counted
+    after: Figure | None = None  # the same once the stream of control carries it
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     row: Row
     figure: float | None
     allowed: float | None
+    after: float | None
     used: dict[str, float]
 
     @property
@@ -55,9 +57,17 @@
     """A row's figure at a size."""
     reading = Reading(slopes)
     allowed = row.allowed(size) if callable(row.allowed) else row.allowed
+    figure = _value(row.figure, size, reading)
+    # What comes after rests on the stream's own measurement; what today's figure rests on is told apart.
+    after = None if row.after is None else _value(row.after, size, Reading(slopes))
+    return Worked(row, figure, allowed, after, reading.used)
+
+
+def _value(figure: Figure, size: Size, reading: Reading) -> float | None:
+    """A figure; None where a slope that it reads has not been measured."""
     try:
-        figure: float | None = row.figure(size, reading)
+        found = figure(size, reading)
     except MissingError:
-        figure = None
-    assert figure is None or not math.isnan(figure), row
-    return Worked(row, figure, allowed, reading.used)
+        return None
+    assert not math.isnan(found)
+    return found
--- a/benchmarks/scale/size.py
+++ b/benchmarks/scale/size.py
@@ -27,7 +27,8 @@
 class Size:
     """The users' figures, and what is assumed beside them.
 
-    `tenants`: active at every gateway; `bounded`: share of statements that are reads with a bound; `rack`: databases.
+    `tenants`: active at every gateway; `bounded`: share of statements that are reads with a bound; `rack`: databases;
+    `fan_out`, `levels`: of the relays that will carry the stream of control.
     """
 
     gateways: float = 3_600
@@ -42,6 +43,8 @@
     tenants: float = 20
     bounded: float = 1.0
     rack: float = 40
+    fan_out: float = 60
+    levels: float = 2
 
     def check(self) -> None:
         """Raise `ValueError` naming the first figure that makes no sense."""
--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -70,6 +70,7 @@
         "rests on",
         "carried today",
         "will be carried",
+        "after",
     )
     for role, rows in found.items():
         lines = [
@@ -83,6 +84,7 @@
                 rests_on(one),
                 one.row.today,
                 one.row.will or "as today",
+                number(one.after) if one.row.after is not None else "-",
             )
             for one in rows
         ]
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -21,6 +21,7 @@
 SLOPES = Slopes()
 ROWS = [row for rows in ROLES.values() for row in rows]
 OWN = ("watch of discovery", "links", "renewals of five leases")  # a gateway's, a keeper's own: the same in any fleet
+CONTROL = measure.KEPT / f"{control.NAME}.json"
 LATER = {control.NAME}  # measured by whoever builds the stream
 
 
@@ -45,7 +46,7 @@
 def test_each_row_rests_on_a_slope_or_names_what_it_is_counted_from(row: Row) -> None:
     worked = work(row, Size(), SLOPES)
     if worked.figure is None:
-        assert row.role == control.ROLE and not (measure.KEPT / f"{control.NAME}.json").exists()
+        assert row.role == control.ROLE and not CONTROL.exists()
         return
     assert bool(worked.used) != bool(row.counted)
     for name in worked.used:
@@ -56,6 +57,23 @@
         assert all(value in one.values and one.load >= 0 for one in kept.found)
 
 
+def test_the_rows_of_the_stream_are_filled_once_it_is_measured(tmp_path: Path) -> None:
+    for kept in measure.KEPT.glob("*.json"):
+        (tmp_path / kept.name).write_bytes(kept.read_bytes())
+
+    def run(readers: int) -> measure.Values:
+        return dict.fromkeys(control.VALUES, float(readers))
+
+    measure.measure(measure.Measurement(control.NAME, "a probe", "readers", (10, 20, 40, 80), run), True, tmp_path)
+    slopes = Slopes(tmp_path)
+    for row in ROWS:
+        worked = work(row, Size(), slopes)
+        assert worked.figure is not None
+        assert (worked.after is None) == (row.after is None)
+    forced = next(work(row, Size(), slopes) for row in ROWS if row.what == "until in force everywhere")
+    assert forced.after == pytest.approx(2 * 60 / 1000), "two levels of 60 readers, a millisecond for each"
+
+
 def test_each_slope_kept_has_all_its_sizes() -> None:
     for name, one in MEASUREMENTS.items():
         assert len(one.sizes) >= measure.LEAST_SIZES
@@ -63,7 +81,7 @@
 
 
 def test_another_size_gives_other_figures() -> None:
-    other = Size(1_200, 3_600, 6_500_000, 5_000_000, 4, 18, 10, 800, 3_000, 10, 0.5, 20)
+    other = Size(1_200, 3_600, 6_500_000, 5_000_000, 4, 18, 10, 800, 3_000, 10, 0.5, 20, 30, 3)
     for row in ROWS:
         was, now = work(row, Size(), SLOPES), work(row, other, SLOPES)
         if was.figure is not None and math.isfinite(was.figure) and row.what not in OWN:
