--- a/benchmarks/scale/hollow/kept.py
+++ b/benchmarks/scale/hollow/kept.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from benchmarks.scale.hollow.tables import traffic_of
 from oatlink.lab.scale.judge import Finding
 from oatlink.lab.scale.scenarios import PLAYS
 from oatlink.lab.scale.size import Size
@@ -56,7 +57,7 @@
 def read(folder: Path) -> list[Finding]:
     """All that is kept, in order of name and size."""
     found = [msgspec.json.decode(one.read_bytes(), type=Finding) for one in sorted(folder.glob("*.json"))]
-    return sorted(found, key=lambda one: (one.scenario, one.played, one.carrier, one.gateways))
+    return sorted(found, key=lambda one: (one.scenario, traffic_of(one), one.carrier, one.gateways))
 
 
 def cost_of(folder: Path, name: str) -> Cost | None:
--- a/benchmarks/scale/hollow/tables.py
+++ b/benchmarks/scale/hollow/tables.py
@@ -26,8 +26,12 @@
 
 def waits(findings: Iterable[Finding]) -> str:
     """How long until in force."""
-    rows = [(one.scenario, one.carrier, size_of(one), *_wait(found)) for one in findings for found in one.in_force]
-    heads = ("scenario", "carrier", "gateways / databases", "what", "p50 s", "p99 s", "longest s", "reached")
+    rows = [
+        (one.scenario, one.carrier, traffic_of(one), size_of(one), *_wait(found))
+        for one in findings
+        for found in one.in_force
+    ]
+    heads = ("scenario", "carrier", "traffic", "gateways / databases", "what", "p50 s", "p99 s", "longest s", "reached")
     return table(heads, rows)
 
 
@@ -35,7 +39,7 @@
     def said(value: float | None) -> object:
         return "never" if value is None else value
 
-    return found.what, said(found.p50_s), said(found.p99_s), said(found.longest_s), f"{found.reached:.1%}"
+    return found.what, said(found.p50_s), said(found.p99_s), said(found.longest_s), f"{found.reached:.2%}"
 
 
 def peaks(findings: Iterable[Finding]) -> str:
@@ -45,7 +49,7 @@
     for one in findings:
         sizes[one.gateways] = size_of(one)
         for peak in one.peaks:
-            key = (one.scenario, one.carrier, _traffic(one), peak.role, peak.kind)
+            key = (one.scenario, one.carrier, traffic_of(one), peak.role, peak.kind)
             found.setdefault(key, {})[one.gateways] = peak.amount
     rows = [
         (*key, *(amounts.get(size, "-") for size in sorted(sizes)), _growth(amounts))
@@ -56,14 +60,15 @@
     return table(("scenario", "carrier", "traffic", "at one", "in the worst second", *heads, "grows as n^"), rows)
 
 
-def _traffic(found: Finding) -> str:
+def traffic_of(found: Finding) -> str:
+    """What the Routers had to do, where there are any."""
     return found.played.rpartition(", ")[2] if "Router" in found.played and "no Router" not in found.played else "-"
 
 
 def _growth(amounts: dict[int, float]) -> str:
     """The exponent between the least and the largest size; 0 is flat, 1 as the fleet."""
     least, most = min(amounts), max(amounts)
-    if least == most or not amounts[least] or not amounts[most]:
+    if least == most or amounts[least] <= 0 or amounts[most] <= 0:
         return "-"
     return f"{math.log(amounts[most] / amounts[least]) / math.log(most / least):.2f}"
 
@@ -75,7 +80,7 @@
     for one in findings:
         sizes[one.gateways] = size_of(one)
         for name, amount in one.steady.items():
-            found.setdefault((one.scenario, one.carrier, _traffic(one), name), {})[one.gateways] = amount
+            found.setdefault((one.scenario, one.carrier, traffic_of(one), name), {})[one.gateways] = amount
     rows = [
         (*key, *(amounts.get(size, "-") for size in sorted(sizes)), _growth(amounts))
         for key, amounts in found.items()
@@ -90,8 +95,9 @@
     rows = []
     for one in findings:
         for name in names:
-            rows += [(one.scenario, one.carrier, size_of(one), name, text) for text in getattr(one, name)]
-    return table(("scenario", "carrier", "gateways / databases", "", "what"), rows)
+            head = one.scenario, one.carrier, traffic_of(one), size_of(one)
+            rows += [(*head, text) for text in getattr(one, name)]
+    return table(("scenario", "carrier", "traffic", "gateways / databases", "what"), rows)
 
 
 def lines(findings: Iterable[Finding]) -> str:
--- a/oatlink/lab/scale/scenarios/twins.py
+++ b/oatlink/lab/scale/scenarios/twins.py
@@ -87,9 +87,10 @@
         "messages of both": float(said[0]),
         "peers that spoke with both": float(both),
         "refused as a second process": float(len(refused)),
-        "s until the first refusal": refused[0] / 1e6 if refused else -1.0,
         "share of messages refused": round(len(refused) / max(1, said[0]), 4),
     }
+    if refused:
+        found.steady["s until the first refusal"] = refused[0] / 1e6
     if len(refused) < said[0] // 4:
         found.broken.append(
             f"both are heard: {said[0] - len(refused)} of {said[0]} messages in {seconds} s, {both} nodes took both"
