--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -3,8 +3,11 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
-from benchmarks.scale.hollow.kept import keep, read, text_of
+from benchmarks.scale.hollow import tables
+from benchmarks.scale.hollow.kept import keep, path_of, read, text_of
+from benchmarks.scale.hollow.play import play
 from oatlink.fleet.verdicts.remembered import Remembered
 from oatlink.lab.fleetsim.time import Timeline
 from oatlink.lab.scale import judge, lines, tally, wire
@@ -80,6 +83,23 @@
     assert path.read_bytes() == text_of(read(tmp_path)[0])
 
 
+def test_what_is_there_is_not_played_again(tmp_path: Path) -> None:
+    path = path_of(tmp_path, "changes-minute", SIZES[0], "today", "bounded")
+    path.write_text("as it was")
+    words = ["--scenario", "changes-minute", "--size", SIZES[0].name, "--folder", str(tmp_path)]
+    said = CliRunner().invoke(play, words)
+    assert said.exit_code == 0 and "kept" in said.output and path.read_text() == "as it was"
+
+
+def test_tables_say_never_and_how_it_grows() -> None:
+    found = [judge.Finding("x", count, 2 * count, 1, "today", "1 whole Routers, any", 1.0) for count in (300, 3_600)]
+    for one in found:
+        one.in_force = [judge.Waits().judged("nothing")]
+        one.peaks = [judge.Peak("gateway", "checks", one.gateways**2 / 100, 0)]
+    assert "| x | today | any | 300 / 600 | nothing | never | never | never | 0.00% |" in tables.waits(found)
+    assert "| 900 | 129,600 | 2.00 |" in tables.peaks(found)
+
+
 def test_bytes_are_the_codecs() -> None:
     assert wire.list_bytes(7_200) > 100 * wire.list_bytes(60)
     assert wire.hello_bytes("n1") < wire.hello_bytes()
