--- a/benchmarks/scale/roles/platform.py
+++ b/benchmarks/scale/roles/platform.py
@@ -81,7 +81,7 @@
         lambda s, k: _swept(k.line("members", "sweep_cpu_ms_per_s", s.databases)),
         at.CPU_MS_PER_S,
         True,
-        "all pools, then 0.1 s of rest",
+        "pools with something open, then 0.1 s of rest",
         OWN,
     ),
     Row(
@@ -108,7 +108,7 @@
         ),
         at.CPU_MS_PER_S,
         True,
-        "all pools and clients, then 0.1 s of rest",
+        "pools with something open and all clients, then 0.1 s of rest",
         OWN,
     ),
     Row(
@@ -179,7 +179,7 @@
         ),
         at.BYTES_PER_S,
         False,
-        "names every member",
+        "names members with something open",
         "only what is not usual, counts for the rest",
     ),
     Row(
@@ -191,7 +191,7 @@
         lambda s, k: k.line("members", "state_line_ms", s.databases),
         at.STILL_MS,
         False,
-        "names every member",
+        "names members with something open",
         "only what is not usual, counts for the rest",
     ),
     Row(
