--- a/tests/fleet/control/test_table.py
+++ b/tests/fleet/control/test_table.py
@@ -101,8 +101,13 @@
     kept = sender.since(Head("all", 0, sender.floor), 10**6)
     assert kept and size_of(one for delta in kept for one in delta.entries) <= KEPT
     page = sender.page(sender.head.version, "", PAGE)
-    late = Delta(0, 200, ())
+    ahead = page.now if page is not None else 0
     reader = Table("all", KEPT)
+    reader.gather(Page("all", 0, 2, 2, 2, "", (Entry("k", b"1"),)))
+    for version in (1, 2):  # meanwhile another upstream has the changes: no page is needed any more
+        assert reader.gathering is not None and reader.apply(Delta(0, version, ()))
+    assert reader.gathering is None
+    reader, late = Table("all", KEPT), Delta(0, ahead + 1, ())
     assert page is not None and not page.last and not reader.gather(page) and reader.gathering is not None
     while reader.gathering is not None:  # more changes come than anybody keeps
         reader.apply(late)
