Stream of control: a subscription says where the child listens, and nobody in use is forgotten

Cause: connections of the fleet's transport carry words one way, so a relay has to dial its child, and nothing told it where; and a child that was tried as an upstream was forgotten while it was still a child. Change: Subscribe.address, Known before a child is answered and forgotten when it goes; the reader forgets only whom no part of it speaks to.

--- a/oatlink/fleet/control/bounds.py
+++ b/oatlink/fleet/control/bounds.py
@@ -52,7 +52,7 @@
     """Threat: a child that asks for so much that its upstream holds it in its stead."""
     if not one.heads or not are_heads(one.heads) or not in_range(one.incarnation, one.mark):
         return False
-    if len(one.resume) > c.MOST_SCOPES:
+    if len(one.resume) > c.MOST_SCOPES or len(one.address.encode("utf-8", "replace")) > MOST_ADDRESS:
         return False
     return all(in_range(r[1], r[2]) and len(r[3].encode("utf-8", "replace")) <= c.MOST_ENTRY_KEY for r in one.resume)
 
--- a/oatlink/fleet/control/downstream.py
+++ b/oatlink/fleet/control/downstream.py
@@ -7,7 +7,7 @@
 - A beat goes to each child each second; the first at once, the next after a part of a second that is drawn, so that
   children who come in one moment are not told in one moment for ever. One heap: an event costs a log of the children.
 - A child not heard for `SILENT_US` is none any more: it reports each 5 s.
-- A child is answered over the link that it came by; no `Known` is asked for.
+- A child that says where it listens is made known before it is answered, and forgotten when it goes.
 """
 
 import heapq
@@ -23,7 +23,7 @@
 from oatlink.fleet.control.sums import Sums
 from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages.base import NEVER_US
-from oatlink.fleet.messages.control import Beat, Refused, Report, Subscribe
+from oatlink.fleet.messages.control import Beat, Known, Place, Refused, Report, Subscribe
 from oatlink.fleet.messages.effects import Effect, Tell
 
 BEAT_US = 1_000_000
@@ -36,6 +36,7 @@
     heard_us: int
     mark: int
     mark_us: int
+    address: str
     turn: int = 0  # its place in the heap; older ones there count no more
     beats: int = 0
 
@@ -87,22 +88,28 @@
 
     def subscribe(self, child: str, message: Subscribe, now_us: int) -> list[Effect]:
         """A new child, or one that has a gap or takes more than before."""
-        if not is_subscribe(message):
-            refused = Refused(message.incarnation, "bad", FULL_MS)
-            return [Tell(child, refused), *self._drops.add("impossible subscription", child, now_us)]
         one = self._children.get(child)
-        if one is None and len(self._children) >= self._most:
-            return [Tell(child, Refused(message.incarnation, "full", FULL_MS))]
-        if not self._take(tuple(head.scope for head in message.heads)):
-            effects = self.gone(child)
-            return [*effects, Tell(child, Refused(message.incarnation, "unknown", FULL_MS))]
+        if not is_subscribe(message):
+            dropped = self._drops.add("impossible subscription", child, now_us)
+            return [*dropped, Tell(child, Refused(message.incarnation, "bad", FULL_MS))]  # as far as it is known
+        effects: list[Effect] = []
+        if message.address and (one is None or one.address != message.address):
+            effects.append(Known(Place(child, message.address)))
+        why = "full" if one is None and len(self._children) >= self._most else ""
+        if not why and not self._take(tuple(head.scope for head in message.heads)):
+            why = "unknown"
+        if why:
+            effects.append(Tell(child, Refused(message.incarnation, why, FULL_MS)))
+            forget = [Known(Place(child, message.address), forget=True)] if message.address else []
+            return effects + (forget if one is None else self.gone(child))
         if one is None or one.incarnation != message.incarnation:
-            one = self._children[child] = _Child(message.incarnation, now_us, message.mark, now_us)
+            one = self._children[child] = _Child(message.incarnation, now_us, message.mark, now_us, message.address)
             self._plan(child, one, now_us)
+        one.address = message.address
         self._heard(one, message.mark, now_us)
         self.feed.start(child, message.heads, message.resume)
         self._sums.begins(child, message.incarnation, message.heads)
-        return self.tick(now_us)
+        return effects + self.tick(now_us)
 
     def report(self, child: str, message: Report, now_us: int) -> list[Effect]:
         """Sums of a child; whatever they are worth, it is there."""
@@ -119,6 +126,8 @@
             del self._children[child]  # its place in the heap is passed over when it comes up
             self.feed.stop(child)
             self._sums.ends(child)
+            if one.address:
+                return [Known(Place(child, one.address), forget=True)]
         return []
 
     def changed(self, scope: str, now_us: int) -> None:
--- a/oatlink/fleet/control/reader.py
+++ b/oatlink/fleet/control/reader.py
@@ -99,24 +99,19 @@
 
     def tick(self, now_us: int) -> list[Effect]:
         """Time has passed."""
-        if self._over:
-            return []
-        effects = self._upstream.tick(now_us) + self._downstream.tick(now_us)
-        if self._upstream.peer and now_us >= self._sums.due_us:
-            report = self._sums.report(self._incarnation, self._age.mark(now_us), now_us)
-            effects.append(Tell(self._upstream.peer, report))
-        return effects
+        return [] if self._over else self._settle([], now_us)
 
     def receive(self, sender: str, message: Message, now_us: int) -> list[Effect]:
         """A word of another process, whose name the link has proved."""
-        if self._over:
-            return []
-        return self._take_word(sender, message, now_us) + self.tick(now_us)
+        return [] if self._over else self._settle(self._take_word(sender, message, now_us), now_us)
 
     def silent(self, peer: str, now_us: int) -> list[Effect]:
         """A link to it failed."""
-        effects = self._upstream.silent(peer, "is out of reach", now_us) + self._downstream.gone(peer)
-        return effects + self.tick(now_us)
+        if self._over:
+            return []
+        return self._settle(
+            self._upstream.silent(peer, "is out of reach", now_us) + self._downstream.gone(peer), now_us
+        )
 
     def leave(self, now_us: int) -> list[Effect]:
         """The process is about to stop in an orderly way; it does nothing more."""
@@ -141,14 +136,16 @@
             case c.Report():
                 return self._downstream.report(sender, message, now_us)
             case c.Leave():
-                self._downstream.gone(sender, message.incarnation)
-                return self._upstream.silent(sender, "leaves", now_us)
+                gone = self._downstream.gone(sender, message.incarnation)
+                return gone + self._upstream.silent(sender, "leaves", now_us)
             case c.Seat():
                 if self._upstream.seat(sender, message, now_us):
                     return []
             case c.Refused():
-                if message.reason == "unknown" and sender == self._upstream.peer and self._give_back(now_us):
-                    return []
+                if message.reason == "unknown" and sender == self._upstream.peer:
+                    given_back = self._give_back(now_us)
+                    if given_back is not None:
+                        return given_back
                 effects_or_none = self._upstream.refused(sender, message, now_us)
                 if effects_or_none is not None:
                     return effects_or_none
@@ -156,6 +153,17 @@
 
     # ---- Parts ----
 
+    def _settle(self, effects: list[Effect], now_us: int) -> list[Effect]:
+        """What is due by now; and nobody is forgotten who is spoken to in another part: a child may be a spare."""
+        effects += self._upstream.tick(now_us) + self._downstream.tick(now_us)
+        if self._upstream.peer and now_us >= self._sums.due_us:
+            report = self._sums.report(self._incarnation, self._age.mark(now_us), now_us)
+            effects.append(Tell(self._upstream.peer, report))
+        return [one for one in effects if not (isinstance(one, c.Known) and one.forget and self._uses(one.place.name))]
+
+    def _uses(self, peer: str) -> bool:
+        return peer in self._downstream or self._upstream.uses(peer)
+
     def _moved(self, table: Table, now_us: int) -> None:
         self._downstream.changed(table.head.scope, now_us)
         self._sums.news(now_us)
@@ -169,7 +177,7 @@
         heads = tuple(one.head for one in self._tables.values())
         under_way = ((scope, one.gathering) for scope, one in self._tables.items())
         resume = tuple((scope, *found) for scope, found in under_way if found is not None)
-        return c.Subscribe(self._incarnation, heads, resume, self._age.mark(now_us))
+        return c.Subscribe(self._incarnation, heads, resume, self._age.mark(now_us), self._place.address)
 
     def _take(self, scopes: tuple[str, ...]) -> bool:
         """A child takes these: so do we, where there is room; borrowed ones that no child takes any more make room."""
@@ -187,16 +195,18 @@
         self._more = self._more or bool(new)
         return True
 
-    def _give_back(self, now_us: int) -> bool:
+    def _give_back(self, now_us: int) -> list[Effect] | None:
         """The upstream does not know a scope of ours: those borrowed that never had a version go, with their children.
 
-        Threat: one child that asks for a group that is none, and so takes the upstream from its relay.
+        None where there is none. Threat: a child that asks for a group that is none takes the upstream from its relay.
         """
         over = [scope for scope, one in self._tables.items() if scope not in self._own and not one.head.version]
+        effects: list[Effect] = []
         for scope in over:
             for child in self._downstream.feed.takers(scope):
-                self._downstream.gone(child)
+                effects += self._downstream.gone(child)
             del self._tables[scope]
-        if over:
-            self._upstream.gap(now_us)
-        return bool(over)
+        if not over:
+            return None
+        self._upstream.gap(now_us)
+        return effects
--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -74,6 +74,10 @@
             due = min(due, self._heard_us + SILENT_US, self._again_us)
         return min(due, self._seat_us)
 
+    def uses(self, peer: str) -> bool:
+        """Whether it is the upstream, or the source that is asked."""
+        return any(one is not None and one.name == peer for one in (self.current, self._asking))
+
     def zone_has(self, readers: int) -> None:
         """How many readers the zone has, as `all` says."""
         self._readers = max(1, min(MOST_READERS, readers))
@@ -206,8 +210,7 @@
 
     def _forget(self) -> list[Effect]:
         """Of those known before, only who is in use is known on."""
-        used = [one.name for one in (self.current, self._asking) if one is not None]
-        over = [place for name, place in self._known.items() if name not in used]
+        over = [place for name, place in self._known.items() if not self.uses(name)]
         for place in over:
             del self._known[place.name]
         return [Known(place, forget=True) for place in over]
--- a/oatlink/fleet/messages/control.py
+++ b/oatlink/fleet/messages/control.py
@@ -101,12 +101,14 @@
     """To an upstream: what this reader has of each scope that it takes. The upstream goes on from there.
 
     `resume`: a snapshot under way, as (scope, its epoch, its first version, last key taken). `mark`: see `Beat`.
+    `address`: where the reader listens, for a transport whose connections carry words one way.
     """
 
     incarnation: int
     heads: tuple[Head, ...]
     resume: tuple[tuple[str, int, int, str], ...] = ()
     mark: int = 0
+    address: str = ""
 
 
 class Changes(Message, frozen=True, gc=False):
