Stream of control: a source that answers ends the long windows of the time without one

Cause: a reader of a zone of 190 whose two seats were at full relays waited 30 s between questions, over 60 s in all, as if nobody answered. Change: a seat sets the tries back to one; the source says how fast by wait_ms.

--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -107,6 +107,7 @@
         if self._asking is None or sender != self._asking.name or seat.incarnation != self._join.incarnation:
             return False
         self._asking, self._lost = None, ""
+        self._tries = min(self._tries, 1)  # sources answer again, and they say how fast; a seat may be at a full relay
         spare = not seat.spare.name or is_place(seat.spare)
         if not (is_place(seat.upstream) and spare and 0 <= seat.wait_ms <= MOST_WAIT_MS):
             self._join_us = now_us + self._window()
