Stream of control: a test that a zone whose relays all die is no herd at the sources

Cause: the bound on questions was tested on one upstream alone. Change: a zone of a hundred, all relays killed and started.

--- a/tests/fleet/control/reader_world.py
+++ b/tests/fleet/control/reader_world.py
@@ -187,7 +187,7 @@
         for name in self.sources:
             self.nodes[name] = Source(self, name)
         for n in range(relays):
-            self.nodes[f"relay-{n}"] = Process(self, f"relay-{n}", 8, ())
+            self.nodes[f"relay-{n}"] = Process(self, f"relay-{n}", 16, ())
         for n in range(readers):
             self.nodes[f"reader-{n}"] = Process(self, f"reader-{n}", 0, (("g",), ("h",), ())[n % 3] if groups else ())
 
--- a/tests/fleet/control/test_reader.py
+++ b/tests/fleet/control/test_reader.py
@@ -6,6 +6,7 @@
 from oatlink.fleet.control import downstream, feed
 from oatlink.fleet.control.age import BEHIND_US, Age
 from oatlink.fleet.control.reader import Reader
+from oatlink.fleet.control.upstream import PER_READER_US
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.effects import Tell
 from tests.fleet.control.reader_world import DRIFT, MS, SECOND, Process, World
@@ -69,6 +70,23 @@
     assert world.until_all(BEHIND_US) <= BEHIND_US
 
 
+def test_all_relays_of_a_zone_of_a_hundred_killed_and_started_again_are_no_herd_at_the_sources() -> None:
+    world = World(1, readers=92, relays=8, groups=False)
+    world.commit("all", c.Entry("scope/zone/r/z", b"100"))
+    world.until_all(ROUND_US)
+    for phase in range(2):
+        if phase:
+            for n in range(8):
+                world.kill(f"relay-{n}")
+            world.run(5 * SECOND)
+            for n in range(8):
+                process(world, f"relay-{n}").start()
+        world.some(20)
+        world.until_all(25 * SECOND)
+        assert max(world.joins.values()) <= 1.5 * SECOND / PER_READER_US
+        assert max(count for (name, _), count in world.told.items() if "source" in name) <= 150
+
+
 def test_a_region_cut_off_for_an_hour_goes_on_says_its_age_and_comes_back_without_a_herd() -> None:
     world = started(1)
     state = {one.name: dict(one.core.entries("all")) for one in world.processes()}
