--- a/tests/fleet/control/test_table.py
+++ b/tests/fleet/control/test_table.py
@@ -113,3 +113,13 @@
         reader.apply(late)
         late = Delta(0, late.version + 1, (Entry("x", bytes(50)),))
         assert late.version < 300
+
+
+def test_a_snapshot_whose_changes_did_not_all_come_is_not_in_force() -> None:
+    for come, whole in ((1, False), (2, True)):
+        reader = Table("all")
+        assert not reader.gather(Page("all", 0, 5, 5, 5, "", (Entry("a", b"1"),)))
+        for version in range(6, 6 + come):
+            assert reader.apply(Delta(0, version, (Entry("a", b"%d" % version),)))
+        assert reader.gather(Page("all", 0, 5, 7, 5, "a", (Entry("b", b"1"),), True)) is whole
+        assert reader.entries == ({"a": b"7", "b": b"1"} if whole else {}) and reader.gathering is None
