--- a/tests/fleet/control/test_reader.py
+++ b/tests/fleet/control/test_reader.py
@@ -27,7 +27,7 @@
     return world
 
 
-@pytest.mark.parametrize("seed", [0, 1, 2, 3, 180, 211])  # 180, 211: the word that adds a child's scope is lost
+@pytest.mark.parametrize("seed", range(6))
 def test_through_crashes_cuts_and_bad_links_whole_versions_only_and_afterwards_the_newest(seed: int) -> None:
     world = World(seed, trouble=0.05, kept=1_500)
     draw = world.draw
@@ -253,6 +253,16 @@
     assert relay.core._hearing.covers("group/g")
 
 
+def test_a_scope_that_the_upstream_does_not_tell_of_is_asked_for_again() -> None:
+    world = started(12, groups=False)
+    relay = process(world, "relay-0")
+    core, heads = relay.core, tuple(relay.core.head(scope) for scope in relay.scopes())
+    core._take(("group/g",))  # and the word that asks for it is lost
+    peer, mark = core._upstream.peer, core._age._mark
+    effects = [e for _ in range(3) for e in core.receive(peer, c.Beat(0, heads, mark, 1 << 30), relay.clock() + SECOND)]
+    assert [len(e.message.heads) for e in effects if isinstance(e, Tell) and isinstance(e.message, c.Subscribe)] == [4]
+
+
 def test_what_is_known_to_be_younger_stays_known() -> None:
     age = Age(DRIFT, 1)
     age.told(100, 0)
