--- a/oatlink/fleet/control/upstream.py
+++ b/oatlink/fleet/control/upstream.py
@@ -74,6 +74,10 @@
             due = min(due, self._heard_us + SILENT_US, self._again_us)
         return min(due, self._seat_us)
 
+    def uses(self, peer: str) -> bool:
+        """Whether it is the upstream, or the source that is asked."""
+        return any(one is not None and one.name == peer for one in (self.current, self._asking))
+
     def zone_has(self, readers: int) -> None:
         """How many readers the zone has, as `all` says."""
         self._readers = max(1, min(MOST_READERS, readers))
@@ -103,6 +107,7 @@
         if self._asking is None or sender != self._asking.name or seat.incarnation != self._join.incarnation:
             return False
         self._asking, self._lost = None, ""
+        self._tries = min(self._tries, 1)  # sources answer again, and they say how fast; a seat may be at a full relay
         spare = not seat.spare.name or is_place(seat.spare)
         if not (is_place(seat.upstream) and spare and 0 <= seat.wait_ms <= MOST_WAIT_MS):
             self._join_us = now_us + self._window()
@@ -206,8 +211,7 @@
 
     def _forget(self) -> list[Effect]:
         """Of those known before, only who is in use is known on."""
-        used = [one.name for one in (self.current, self._asking) if one is not None]
-        over = [place for name, place in self._known.items() if name not in used]
+        over = [place for name, place in self._known.items() if not self.uses(name)]
         for place in over:
             del self._known[place.name]
         return [Known(place, forget=True) for place in over]
--- a/tests/fleet/control/reader_world.py
+++ b/tests/fleet/control/reader_world.py
@@ -142,8 +142,9 @@
                 if not one.forget:
                     self.known[one.place.name] = None
             elif isinstance(one, Tell):
-                up = isinstance(one.message, c.Join | c.Subscribe | c.Report)
-                assert not up or one.to in self.known, "spoke to somebody that the shell does not know"
+                assert one.to not in self.world.nodes or one.to in self.known, (
+                    "spoke to somebody that the shell does not know"
+                )
                 self.world.send(self.name, one)
             elif isinstance(one, Note):
                 self.notes.append(one)
@@ -186,7 +187,7 @@
         for name in self.sources:
             self.nodes[name] = Source(self, name)
         for n in range(relays):
-            self.nodes[f"relay-{n}"] = Process(self, f"relay-{n}", 8, ())
+            self.nodes[f"relay-{n}"] = Process(self, f"relay-{n}", 16, ())
         for n in range(readers):
             self.nodes[f"reader-{n}"] = Process(self, f"reader-{n}", 0, (("g",), ("h",), ())[n % 3] if groups else ())
 
--- a/tests/fleet/control/test_reader.py
+++ b/tests/fleet/control/test_reader.py
@@ -6,6 +6,7 @@
 from oatlink.fleet.control import downstream, feed
 from oatlink.fleet.control.age import BEHIND_US, Age
 from oatlink.fleet.control.reader import Reader
+from oatlink.fleet.control.upstream import PER_READER_US
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.effects import Tell
 from tests.fleet.control.reader_world import DRIFT, MS, SECOND, Process, World
@@ -69,8 +70,25 @@
     assert world.until_all(BEHIND_US) <= BEHIND_US
 
 
+def test_all_relays_of_a_zone_of_a_hundred_killed_and_started_again_are_no_herd_at_the_sources() -> None:
+    world = World(1, readers=92, relays=8, groups=False)
+    world.commit("all", c.Entry("scope/zone/r/z", b"100"))
+    world.until_all(ROUND_US)
+    for phase in range(2):
+        if phase:
+            for n in range(8):
+                world.kill(f"relay-{n}")
+            world.run(5 * SECOND)
+            for n in range(8):
+                process(world, f"relay-{n}").start()
+        world.some(20)
+        world.until_all(25 * SECOND)
+        assert max(world.joins.values()) <= 1.5 * SECOND / PER_READER_US
+        assert max(count for (name, _), count in world.told.items() if "source" in name) <= 150
+
+
 def test_a_region_cut_off_for_an_hour_goes_on_says_its_age_and_comes_back_without_a_herd() -> None:
-    world = started(1, readers=6)
+    world = started(1)
     state = {one.name: dict(one.core.entries("all")) for one in world.processes()}
     world.cut = lambda a, b: a.startswith("source") or b.startswith("source")
     began = world.now
@@ -153,6 +171,20 @@
     world.until_all(ROUND_US)
 
 
+def test_a_child_that_is_lost_as_an_upstream_is_spoken_to_on() -> None:
+    world = started(11)
+    reader = process(world, "reader-0")
+    relay = process(world, reader.core._upstream.peer)
+    relay.core._upstream.spare = c.Place("reader-0", "a")
+    relay.do(relay.core.silent(relay.core._upstream.peer, relay.clock()))
+    assert relay.core._upstream.peer == "reader-0" in relay.core._downstream
+    relay.take("reader-0", c.Refused(1, "bad"))
+    assert relay.core._upstream.peer != "reader-0" in relay.core._downstream and "reader-0" in relay.known
+    world.run(2 * SECOND)  # told to leave, it goes elsewhere
+    assert "reader-0" not in relay.core._downstream and "reader-0" not in relay.known
+    world.until_all(ROUND_US)
+
+
 def test_a_child_that_asks_for_a_scope_that_is_none_does_not_take_the_upstream_from_its_relay() -> None:
     world = started(6)
     relay = process(world, "relay-0")
@@ -198,8 +230,10 @@
         assert core._tables["all"].gathering
         one.take(up.peer, c.Page("all", 0, at + 8, at + 8, at, "", (c.Entry("a", b"1"),)))
     assert not core._tables["all"].gathering
-    (refused,) = [e.message for e in core.receive(up.peer, c.Subscribe(1, ()), one.clock()) if isinstance(e, Tell)]
-    assert isinstance(refused, c.Refused) and refused.reason == "bad"
+    relay = process(world, "relay-0")
+    peer, child = relay.core._upstream.peer, c.Subscribe(1, (c.Head("all"),))
+    (refused,) = [e.message for e in relay.core.receive(peer, child, relay.clock()) if isinstance(e, Tell)]
+    assert isinstance(refused, c.Refused) and refused.reason == "bad"  # two that hear each other and no source
 
 
 def test_a_scope_that_is_taken_anew_is_not_covered_by_the_age_of_before() -> None:
@@ -212,6 +246,21 @@
     relay.core._take(tuple(f"group/{n}" for n in range(13)))  # no room but in its place
     relay.core._give_back(relay.clock())
     assert relay.core._take(("group/g",)) and not relay.core._hearing.covers("group/g")
+    heads = tuple(one.head for one in relay.core._tables.values())
+    relay.take(relay.core._upstream.peer, c.Beat(60_000, heads, relay.core._age._mark))
+    assert not relay.core._hearing.covers("group/g")  # older than what our age says
+    relay.take(relay.core._upstream.peer, c.Beat(0, heads, relay.core._age._mark, 1 << 30))
+    assert relay.core._hearing.covers("group/g")
+
+
+def test_a_scope_that_the_upstream_does_not_tell_of_is_asked_for_again() -> None:
+    world = started(12, groups=False)
+    relay = process(world, "relay-0")
+    core, heads = relay.core, tuple(relay.core.head(scope) for scope in relay.scopes())
+    core._take(("group/g",))  # and the word that asks for it is lost
+    peer, mark = core._upstream.peer, core._age._mark
+    effects = [e for _ in range(3) for e in core.receive(peer, c.Beat(0, heads, mark, 1 << 30), relay.clock() + SECOND)]
+    assert [len(e.message.heads) for e in effects if isinstance(e, Tell) and isinstance(e.message, c.Subscribe)] == [4]
 
 
 def test_what_is_known_to_be_younger_stays_known() -> None:
--- a/tests/fleet/control/test_table.py
+++ b/tests/fleet/control/test_table.py
@@ -101,10 +101,25 @@
     kept = sender.since(Head("all", 0, sender.floor), 10**6)
     assert kept and size_of(one for delta in kept for one in delta.entries) <= KEPT
     page = sender.page(sender.head.version, "", PAGE)
-    late = Delta(0, 200, ())
+    ahead = page.now if page is not None else 0
     reader = Table("all", KEPT)
+    reader.gather(Page("all", 0, 2, 2, 2, "", (Entry("k", b"1"),)))
+    for version in (1, 2):  # meanwhile another upstream has the changes: no page is needed any more
+        assert reader.gathering is not None and reader.apply(Delta(0, version, ()))
+    assert reader.gathering is None
+    reader, late = Table("all", KEPT), Delta(0, ahead + 1, ())
     assert page is not None and not page.last and not reader.gather(page) and reader.gathering is not None
     while reader.gathering is not None:  # more changes come than anybody keeps
         reader.apply(late)
         late = Delta(0, late.version + 1, (Entry("x", bytes(50)),))
         assert late.version < 300
+
+
+def test_a_snapshot_whose_changes_did_not_all_come_is_not_in_force() -> None:
+    for come, whole in ((1, False), (2, True)):
+        reader = Table("all")
+        assert not reader.gather(Page("all", 0, 5, 5, 5, "", (Entry("a", b"1"),)))
+        for version in range(6, 6 + come):
+            assert reader.apply(Delta(0, version, (Entry("a", b"%d" % version),)))
+        assert reader.gather(Page("all", 0, 5, 7, 5, "a", (Entry("b", b"1"),), True)) is whole
+        assert reader.entries == ({"a": b"7", "b": b"1"} if whole else {}) and reader.gathering is None
