A write whose client has left still binds its session's reads when its answer comes

Cause, by a trial that logs each session's writes and reads: request ..., a read of session at n0, needed nothing and got data 0.524 s too old; 0.35 s before a write of that session was answered there, its request no more in the Router's book: its client had left, holding.forget had dropped the request, and with it the session. Ruled out: positions that go back, evicted sessions.

Change: at a departure a write with an attempt out stays in the book, with no time left, until that has ended; then its commit is remembered.

--- a/oatlink/rules/holding.py
+++ b/oatlink/rules/holding.py
@@ -86,8 +86,11 @@
     forget(book, request.id)
 
 
-def forget(book: Book, request_id: str) -> None:
-    """A request has ended."""
-    request = book.requests.pop(request_id, None)
+def forget(book: Book, request_id: str, has_left: bool = False) -> None:
+    """A request has ended. Threat: its client has left; its write, still out, binds its session's reads."""
+    request = book.requests.get(request_id)
     if request is not None:
         book.holds[request.group].pop(request_id)
+        request.expires_us, write = book.now, request.rule.freshness is api.Freshness.WRITE  # no more is sent
+        if not (has_left and write and any(one.out for one in request.attempts)):
+            del book.requests[request_id]
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -38,10 +38,7 @@
         _learn(book, member, end, sent_us)
     if request is not None and end.attempt < len(request.attempts):
         request.attempts[end.attempt].out = False
-        if end.over:
-            _served(book, request, end)
-        else:
-            _go_on(book, request, end)
+        (_served if end.over else _go_on)(book, request, end)
         placing.pump(book, book.groups[request.group])
     elif member is not None:
         placing.pump(book, book.groups[member.entry.group])
--- a/oatlink/rules/router.py
+++ b/oatlink/rules/router.py
@@ -43,7 +43,7 @@
             case api.Checked():
                 outcomes.checked(book, event)
             case api.Departure():
-                holding.forget(book, event.request)
+                holding.forget(book, event.request, has_left=True)
             case api.Roster():
                 roster.listed(book, event)
             case api.Start():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -292,6 +292,22 @@
     assert one(driver.arrive("own", session="other")).member in (2, 3)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.SERVED, Outcome.RESET, Outcome.FULL])
+def test_the_write_of_a_client_that_has_left_binds_its_sessions_reads(outcome: Outcome) -> None:
+    """Found on a short day: the answer of a write whose client had gone bound nobody, and its session read behind it."""
+    driver = Driver(router_remembers_sessions=True).ready()
+    driver.skip(50_000)
+    send = one(driver.arrive("submit", session="s"))
+    assert driver.give(api.Departure(send.request)) == []
+    assert not driver.router.may_write(send.request, 0, driver.now), "nothing is sent for it any more"
+    done = driver.ended(send, outcome, over=True, answer=api.Report(driver.now, Role.PRIMARY))
+    assert not any(isinstance(each, api.Send | api.Fail | api.Refuse) for each in done)
+    assert not driver.router.book.requests
+    if outcome is Outcome.SERVED:
+        assert one(driver.arrive("own", session="s")).member == 1
+        assert one(driver.arrive("own", session="other")).member in (2, 3)
+
+
 def test_forgotten_sessions_still_bind() -> None:
     driver = Driver(router_remembers_sessions=True, max_open=1).ready()
     driver.skip(50_000)
