Fleet's accepted connections and their door share values from a module below both

Door and connection imported one another. What all connections share is Ear, whom they ask is Porter, in shell/ear.py; arrows go down only. With it the transport takes nodes that no settings list: known by word, heard when the key has proved the name, so many at once, the one spoken to longest ago forgotten first; a failed dial or a broken link is told to who asks.

The settings have a control part: sources, region, zone, groups, relays.

--- a/oatlink/fleet/shell/dialled.py
+++ b/oatlink/fleet/shell/dialled.py
@@ -18,7 +18,7 @@
 
 
 class Mouth:
-    """What all outgoing links of a node share. `say` writes a line: event, peer, text."""
+    """What all outgoing links of a node share. `say` writes a line: event, peer, text; `failed` is told a peer."""
 
     def __init__(
         self,
@@ -29,9 +29,10 @@
         say: Callable[[str, str, str], None],
         counters: Counter[str],
         draws: random.Random,
+        failed: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.node, self.incarnation, self.fleet, self.key = node, incarnation, fleet, key
-        self.say, self.counters, self.draws = say, counters, draws
+        self.say, self.counters, self.draws, self.failed = say, counters, draws, failed
         self.ticks = 0
 
 
@@ -68,12 +69,18 @@
         self._silent = self._quiet = 0  # ticks without an ack that is due, without anything to say
         self._transport: asyncio.Transport | None = None
         self.closed = self._paused = False
+        self.idled = False  # closed because nothing was said
 
     @property
     def ready(self) -> bool:
         """Whether it takes more to write."""
         return self._seal is not None and not self._paused and not self.closed
 
+    @property
+    def settled(self) -> bool:
+        """Whether the peer has taken all that was written."""
+        return self._sent == self._acked
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.Protocol`."""
         self._transport = cast(asyncio.Transport, transport)
@@ -143,6 +150,7 @@
             self.close()
         elif self._quiet > IDLE_TICKS:
             self.mouth.counters["idle"] += 1
+            self.idled = True
             self.close()
 
     def finish(self) -> None:
--- a/oatlink/fleet/shell/door.py
+++ b/oatlink/fleet/shell/door.py
@@ -3,20 +3,22 @@
 What may live here: which connections are accepted, proved, refused and closed. What they say goes to `Door.take`.
 
 Threats: a flood of connections that say nothing (few are held, the oldest goes first, and each has a short time); two
-processes under one name, which would both be believed; a name that nobody listed.
+processes under one name, which would both be believed; a name that nobody listed (refused, or with `unlisted` heard
+once the key has proved it, and so many of them at once: who holds the key could make up names without end).
 """
 
 import asyncio
 import socket
-from collections import Counter
 from collections.abc import Callable
 
 from oatlink.fleet import envelope
 from oatlink.fleet.messages import VERSION
+from oatlink.fleet.shell.ear import Caller, Ear
 from oatlink.fleet.shell.inbound import Incoming
 
 MOST_UNPROVED = 64
 MOST_A_PEER = 4
+MOST_NAME = 64  # characters of a name that no settings list
 ACCEPTS_A_TURN = 16
 PROVE_TICKS = 8  # until a Hello must have come: 2 s
 ALIVE_TICKS = 12  # how long a connection speaks for its process after a frame: 3 s
@@ -26,25 +28,21 @@
 class Door:
     """What all accepted connections of a node share, and the door they come through.
 
-    `take` is told of each message: sender and body. `say` writes a line: event, peer, text.
+    `say` writes a line: event, peer, text. `unlisted`: how many names that are not among `peers` are heard at once.
     """
 
     def __init__(
         self,
-        node: str,
+        ear: Ear,
         peers: frozenset[str],
-        fleet: str,
         keys: tuple[bytes, ...],
-        most_bytes: int,
-        take: Callable[[str, bytes], None],
         say: Callable[[str, str, str], None],
-        counters: Counter[str],
+        unlisted: int = 0,
     ) -> None:
-        self.node, self.peers, self.fleet, self.keys, self.most_bytes = node, peers, fleet, keys, most_bytes
-        self.take, self.say, self.counters = take, say, counters
-        self.ticks = 0  # time here is counted in them: a process that stood still takes nobody for silent
-        self._unproved: dict[Incoming, None] = {}
-        self._proved: dict[str, list[Incoming]] = {}
+        self.ear, self.peers, self.keys, self.say, self.unlisted = ear, peers, keys, say, unlisted
+        self._unproved: dict[Caller, None] = {}
+        self._proved: dict[str, list[Caller]] = {}
+        self._strange = 0  # proved names that are not among the peers
         self._listening: list[socket.socket] = []
         self._loop: asyncio.AbstractEventLoop | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -73,11 +71,11 @@
                 self._loop.call_later(0.1, self._again, listening)
                 return
             sock.setblocking(False)
-            self.counters["accepted"] += 1
-            one = Incoming(self)
+            self.ear.counters["accepted"] += 1
+            one = Incoming(self, self.ear)
             self._unproved[one] = None
             if len(self._unproved) > MOST_UNPROVED:
-                self.counters["dropped_crowd"] += 1
+                self.ear.counters["dropped_crowd"] += 1
                 next(iter(self._unproved)).close()
             task = self._loop.create_task(self._connect(one, sock))
             self._tasks.add(task)
@@ -109,18 +107,18 @@
 
     def tick(self) -> None:
         """A quarter of a second has passed."""
-        self.ticks += 1
-        for one in [one for one in self._unproved if self.ticks - one.heard > PROVE_TICKS]:
-            self.counters["dropped_unproved"] += 1
+        self.ear.ticks += 1
+        for one in [one for one in self._unproved if self.ear.ticks - one.heard > PROVE_TICKS]:
+            self.ear.counters["dropped_unproved"] += 1
             one.close()
         for some in list(self._proved.values()):
             for one in list(some):
-                if self.ticks - one.heard > SILENT_TICKS:
+                if self.ear.ticks - one.heard > SILENT_TICKS:
                     one.close()
                 else:
                     one.acknowledge()
 
-    def prove(self, one: Incoming, frame: bytes) -> envelope.Seal | None:
+    def prove(self, one: Caller, frame: bytes) -> envelope.Seal | None:
         """Frame 0 has come: the sender's seal, or None where it is not to be heard."""
         hello = envelope.read_hello(frame)
         if hello is None:
@@ -131,27 +129,30 @@
         if hello.version > VERSION:
             self.refuse("dropped_version", known, f"version {hello.version}, this node knows {VERSION}")
             return None
-        if not known:
+        if not known and not (self.unlisted and hello.node != self.ear.node and 0 < len(hello.node) <= MOST_NAME):
             self.refuse("dropped_name", known, "a name that is not in fleet.nodes")
             return None
         seals = (envelope.Seal(key, one.nonce, hello.node, hello.incarnation) for key in self.keys)
         seal = next((seal for seal in seals if seal.opened(frame) is not None), None)
         if seal is None:
             self.refuse("dropped_tag", known, "no key of ours")
-        elif hello.fleet != self.fleet:
+        elif hello.fleet != self.ear.fleet:
             self.refuse("dropped_fleet", known, "its settings' fleet part differs from ours")
-        elif hello.to != self.node:
+        elif hello.to != self.ear.node:
             # Threat: a node in between that passes on what was meant for another.
             self.refuse("dropped_misled", known, f"it meant {hello.to[:64]!r}")
         elif self._admit(one, hello):
             return seal
         return None
 
-    def _admit(self, one: Incoming, hello: envelope.Hello) -> bool:
+    def _admit(self, one: Caller, hello: envelope.Hello) -> bool:
         """Whether this process is the one that has its name."""
         peers = self._proved.get(hello.node, [])
+        if not peers and hello.node not in self.peers and self._strange >= self.unlisted:
+            self.refuse("dropped_full", "", f"{self._strange} names beside those in the settings are heard already")
+            return False
         others = [other for other in peers if other.incarnation != hello.incarnation]
-        if any(self.ticks - other.heard <= ALIVE_TICKS for other in others):
+        if any(self.ear.ticks - other.heard <= ALIVE_TICKS for other in others):
             self.refuse("dropped_twice", hello.node, "another process has this name, and is alive")
             return False
         for other in others:  # their process is gone, or silent: from now on this one has the name
@@ -160,16 +161,19 @@
             peers[0].close()  # the oldest: its other end may be long gone
         one.name, one.incarnation = hello.node, hello.incarnation
         self._unproved.pop(one, None)
-        self._proved.setdefault(hello.node, []).append(one)
+        if hello.node not in self._proved:
+            self._strange += hello.node not in self.peers
+            self._proved[hello.node] = []
+        self._proved[hello.node].append(one)
         return True
 
     def refuse(self, counter: str, peer: str = "", text: str = "") -> None:
         """Count it, and say it where there is something to say."""
-        self.counters[counter] += 1
+        self.ear.counters[counter] += 1
         if text:
             self.say("fleet peer refused", peer, text)
 
-    def gone(self, one: Incoming) -> None:
+    def gone(self, one: Caller) -> None:
         """A connection has ended."""
         self._unproved.pop(one, None)
         peers = self._proved.get(one.name, [])
@@ -177,3 +181,4 @@
             peers.remove(one)
             if not peers:
                 del self._proved[one.name]
+                self._strange -= one.name not in self.peers
--- a/oatlink/fleet/shell/inbound.py
+++ b/oatlink/fleet/shell/inbound.py
@@ -6,22 +6,20 @@
 
 import asyncio
 import secrets
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 from oatlink.fleet import envelope
-
-if TYPE_CHECKING:
-    from oatlink.fleet.shell.door import Door
+from oatlink.fleet.shell.ear import Ear, Porter
 
 
 class Incoming(asyncio.Protocol):
     """One accepted connection. Closing is idempotent."""
 
-    def __init__(self, door: "Door") -> None:
-        self.door = door
+    def __init__(self, door: Porter, ear: Ear) -> None:
+        self.door, self.ear = door, ear
         self.name, self.incarnation = "", 0
         self.nonce = secrets.token_bytes(envelope.NONCE)
-        self.heard = door.ticks
+        self.heard = ear.ticks
         self._seal: envelope.Seal | None = None
         self._reader = envelope.Reader(envelope.MOST_GREETING)
         self._taken = -1  # number of the newest frame
@@ -35,16 +33,16 @@
         if self._closed:
             self._transport.abort()
         else:
-            self._transport.write(envelope.challenge(self.nonce, self.door.node, self.door.fleet))
+            self._transport.write(envelope.challenge(self.nonce, self.ear.node, self.ear.fleet))
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
-        self.door.counters["bytes_in"] += len(data)
+        self.ear.counters["bytes_in"] += len(data)
         self._reader.feed(data)
         while not self._closed and (frame := self._reader.take()) is not None:
             self._frame(frame)
         if self._reader.broken and not self._closed:
-            self.door.counters["dropped_long"] += 1
+            self.ear.counters["dropped_long"] += 1
             self.close()
 
     def _frame(self, frame: bytes) -> None:
@@ -53,23 +51,23 @@
             if self._seal is None:
                 self.close()
                 return
-            self._reader.most = self.door.most_bytes
-            self._taken, self.heard = 0, self.door.ticks
+            self._reader.most = self.ear.most_bytes
+            self._taken, self.heard = 0, self.ear.ticks
             return
         found = self._seal.opened(frame)
         if found is None:
-            self.door.counters["dropped_tag"] += 1
+            self.ear.counters["dropped_tag"] += 1
             self.close()
         elif found[0] <= self._taken:
-            self.door.counters["dropped_replay"] += 1
+            self.ear.counters["dropped_replay"] += 1
         elif found[0] > self._taken + 1:
             # What is missing will not come: begin anew, rather than have its place taken later.
-            self.door.counters["dropped_gap"] += 1
+            self.ear.counters["dropped_gap"] += 1
             self.close()
         else:
-            self._taken, self.heard = found[0], self.door.ticks
-            self.door.counters["received"] += 1
-            self.door.take(self.name, found[1])
+            self._taken, self.heard = found[0], self.ear.ticks
+            self.ear.counters["received"] += 1
+            self.ear.take(self.name, found[1])
 
     def acknowledge(self) -> None:
         """Tell the sender what has come, unless it has not even read what it was told before."""
--- a/oatlink/fleet/shell/outbound.py
+++ b/oatlink/fleet/shell/outbound.py
@@ -42,6 +42,11 @@
         """Whether nothing waits to be written."""
         return not self._queue
 
+    @property
+    def settled(self) -> bool:
+        """Whether all that was said has come, or will not come any more."""
+        return not self._queue and self._task is None and (self.dialled is None or self.dialled.settled)
+
     def send(self, body: bytes) -> None:
         """Say this as soon as may be, or never. Never blocks."""
         if self._closed:
@@ -106,6 +111,7 @@
                     self.flush()
                     return
                 self.mouth.counters["dials_failed"] += 1
+                self.mouth.failed(self.peer)
         finally:
             self._task = None
             self._dial_soon()
@@ -136,6 +142,8 @@
         """A connection has ended."""
         if self.dialled is one:
             self.dialled = None
+            if not one.idled and not self._closed:
+                self.mouth.failed(self.peer)
             self._dial_soon()
 
     def tick(self) -> None:
--- a/oatlink/fleet/shell/transport.py
+++ b/oatlink/fleet/shell/transport.py
@@ -1,8 +1,11 @@
-"""Messages between the nodes that the settings list: sent over connections that this node dialled, heard on others.
+"""Messages between nodes, those of the settings and those made known: sent over connections that this node dialled.
 
 What may live here: what all links of a node share, from its port to its counters. It decides nothing: a message that
 is lost, late or doubled is the cores' matter.
 
+Nodes that no settings list come and go by `know`. Threat: a peer whose words make this node dial thousands of places:
+so many are known at once, and the one that was spoken to longest ago is forgotten first.
+
 A link is simplex, so that a one-way cut is just that. All queues are bounded, and all times of links are counted in
 ticks of a quarter second: a process that stood still takes no link for dead because of it.
 """
@@ -20,6 +23,7 @@
 from oatlink.fleet.messages import AnyMessage, Message
 from oatlink.fleet.shell.dialled import Mouth
 from oatlink.fleet.shell.door import Door
+from oatlink.fleet.shell.ear import Ear
 from oatlink.fleet.shell.keys import read_keys
 from oatlink.fleet.shell.outbound import Outgoing
 from oatlink.settings.fleet import Fleet, fleet_hash
@@ -27,14 +31,17 @@
 TICK_S = 0.25
 FLUSH_S = 0.2  # at an orderly end
 MINUTE_TICKS = 240
+MOST_SAID = 4_096  # lines remembered, so that none is written twice a minute
 RECEIVE_BYTES = 65_536  # of the kernel's, for each connection that was accepted
 
 
 class Transport:
     """One node's links to all others.
 
-    `on_message` is told the sender's name and each message; `note` writes a line: event, text. `counters` says what
-    was done and what was dropped, by reason.
+    `on_message` is told the sender's name and each message; `note` writes a line: event, text; `on_fail`, where given,
+    is told of a name to which a dial has failed or a connection has broken, in a turn of its own. `counters` says what
+    was done and what was dropped, by reason. `unlisted`: how many nodes that the settings do not list are known, and
+    heard, at once.
     """
 
     def __init__(
@@ -44,19 +51,25 @@
         on_message: Callable[[str, AnyMessage], None],
         note: Callable[[str, str], None],
         seed: int,
+        on_fail: Callable[[str], None] | None = None,
+        unlisted: int = 0,
     ) -> None:
         """Reads the keys. Raises `FleetError`."""
         self.counters: Counter[str] = Counter()
         self._node, self._most = fleet.node, fleet.most_bytes
         self._address = fleet.own.address
         self._on_message, self._note = on_message, note
-        self._addresses = {one.name: fleet.routes.get(one.name, one.address) for one in fleet.nodes}
+        self._routes = fleet.routes
+        self._addresses = {one.name: self._routes.get(one.name, one.address) for one in fleet.listed}
         del self._addresses[fleet.node]
+        self._on_fail, self._unlisted = on_fail, unlisted
+        self._known: dict[str, str] = {}  # the addresses of others, who was spoken to last at the end
+        self._retired: list[Outgoing] = []  # ways that still have something to say, and get nothing new
         keys, same = read_keys(fleet.key_files), fleet_hash(fleet)
         draws = random.Random(f"{seed} {fleet.node}")
-        self._mouth = Mouth(fleet.node, incarnation, same, keys[0], self._say, self.counters, draws)
-        peers = frozenset(self._addresses)
-        self._door = Door(fleet.node, peers, same, keys, self._most, self._heard, self._say, self.counters)
+        self._mouth = Mouth(fleet.node, incarnation, same, keys[0], self._say, self.counters, draws, self._failed)
+        ear = Ear(fleet.node, same, self._most, self._heard, self.counters)
+        self._door = Door(ear, frozenset(self._addresses), keys, self._say, unlisted)
         self._ways: dict[str, Outgoing] = {}
         self._sockets: list[socket.socket] = []
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -85,6 +98,40 @@
         self._door.tick()
         for way in self._ways.values():
             way.tick()
+        for way in list(self._retired):
+            way.tick()
+            if way.settled:
+                self._retired.remove(way)
+                way.close()
+
+    # ---- Who is known ----
+
+    def know(self, name: str, address: str) -> None:
+        """Where a node listens that the settings do not list; one that they list stays where they say."""
+        if self._closed or name in self._addresses or name == self._node:
+            return
+        address = self._routes.get(name, address)
+        if self._known.get(name) != address:
+            self.forget(name)
+        self._known[name] = address
+        if len(self._known) > self._unlisted:
+            self.counters["dropped_known"] += 1
+            self.forget(next(iter(self._known)))
+
+    def forget(self, name: str) -> None:
+        """Nothing more will be said to a node that the settings do not list; what was said before still goes out."""
+        if self._known.pop(name, None) is not None and (way := self._ways.pop(name, None)) is not None:
+            self._retired.append(way)
+            while len(self._retired) > self._unlisted:
+                self._retired.pop(0).close()
+
+    def _failed(self, peer: str) -> None:
+        if self._on_fail is not None and self._loop is not None and not self._closed:
+            self._loop.call_soon(self._tell_failed, self._on_fail, peer)
+
+    def _tell_failed(self, on_fail: Callable[[str], None], peer: str) -> None:
+        if not self._closed:
+            on_fail(peer)
 
     # ---- Messages ----
 
@@ -97,6 +144,8 @@
             self._loop.call_soon(self._own, message)
             return
         address = self._addresses.get(to)
+        if address is None and to in self._known:
+            address = self._known[to] = self._known.pop(to)
         if address is None:
             self.counters["dropped_name"] += 1
             return
@@ -140,9 +189,11 @@
             self._say("fault", sender, f"{type(message).__name__}: {error!r}"[:500])
 
     def _say(self, event: str, peer: str, text: str) -> None:
-        """A line, once a minute for each event and peer; peers here are listed names or nobody."""
+        """A line, once a minute for each event and peer; peers here have proved their names or are nobody."""
         ticks = self._mouth.ticks
         if ticks - self._said.get((event, peer), -MINUTE_TICKS) >= MINUTE_TICKS:
+            if len(self._said) >= MOST_SAID:  # names that come and go
+                self._said.clear()
             self._said[event, peer] = ticks
             self._note(event, f"{peer}: {text}" if peer else text)
 
@@ -155,15 +206,16 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        ways = [*self._ways.values(), *self._retired]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_S):
-                while left := [one for one in self._ways.values() if not one.empty or one.dialled is not None]:
+                while left := [one for one in ways if not one.empty or one.dialled is not None]:
                     for one in left:
                         one.flush()
                         if one.empty:
                             one.finish()
                     await asyncio.sleep(0.005)
-        for one in self._ways.values():
+        for one in ways:
             one.close()
         self._door.close()
         for sock in self._sockets:
--- a/oatlink/settings/fleet.py
+++ b/oatlink/settings/fleet.py
@@ -4,6 +4,17 @@
 `state_dir`, `key_files`, `routes`, `trust_keeper`). Floors are divided over `nodes`, so a list that differs from node
 to node is a mistake that no node can see by itself: the hash of the part without its own goes into each greeting
 between nodes, and one that differs is refused.
+
+With a `control` part (docs/design/control.md) processes come and go without a change of anybody's file: `nodes` names
+this node and at most the sources besides, and others are heard if the key has proved their names. The hash is then of
+what must never differ, and versions say the rest:
+- the sources' names and which of them are keepers: a majority of one list need not meet a majority of another, so two
+  changes could both be agreed;
+- how names are proved: whoever proves them otherwise is not understood at all.
+Addresses, key files, `drift`, bounds, places, groups and relays are each process's own: each reckons by its own clock
+and its own bound, and a source that has moved is found by whoever has its new address. What divides by the number of
+nodes (`tenants`, `members`, `versions`) is refused beside `control`, as no file names them all; verdicts, whose words
+name nodes by their place in the list, are not spread.
 """
 
 from collections.abc import Iterator
@@ -16,6 +27,7 @@
 from oatlink.settings.parts import Match, Name, Part, Positive, address_fits
 
 MOST_NODES = 4_096
+SCHEME = "blake2b-128 1"  # how frames and names are proved (`oatlink.fleet.envelope`)
 LEAST_BURST = 1.0  # requests: a bucket that holds less never lets one through
 
 
@@ -55,6 +67,20 @@
     word: Annotated[str, Meta(min_length=2, max_length=32)] = ";layout="
 
 
+class Control(Part, frozen=True):
+    """A process's place in the stream of control; with it the process is a source, where it is named as one.
+
+    `sources`: the machines set aside, an odd number of them keepers. `region`, `zone`, `groups`: whose scopes this
+    process takes. `relays`: how many others it may serve; 0: none.
+    """
+
+    sources: Annotated[tuple[FleetNode, ...], Meta(min_length=3, max_length=7)]
+    region: Name
+    zone: Name
+    groups: Annotated[tuple[Name, ...], Meta(max_length=13)] = ()  # with `all`, region and zone 16 scopes
+    relays: Annotated[int, Meta(ge=0, le=256)] = 0
+
+
 class Fleet(Part, frozen=True):
     """What a gateway is told of its fleet. `drift`: by how much of its rate each clock may be wrong.
 
@@ -75,22 +101,36 @@
     verdicts: bool = True
     routes: dict[str, str] = {}
     trust_keeper: bool = False
+    control: Control | None = None
+
+    @property
+    def listed(self) -> tuple[FleetNode, ...]:
+        """All nodes that the settings name: with `control` its sources, then those of `nodes` that are none."""
+        if self.control is None:
+            return self.nodes
+        sources = {one.name for one in self.control.sources}
+        return self.control.sources + tuple(one for one in self.nodes if one.name not in sources)
 
     @property
     def keepers(self) -> tuple[str, ...]:
         """The nodes that keep registers, in the order of the list."""
-        return tuple(one.name for one in self.nodes if one.keeper)
+        return tuple(one.name for one in self.listed if one.keeper)
 
     @property
     def own(self) -> FleetNode:
         """The line of the node itself."""
-        return next(one for one in self.nodes if one.name == self.node)
+        return next(one for one in self.listed if one.name == self.node)
 
 
 def fleet_hash(fleet: Fleet) -> str:
-    """A short name of what must be the same at every node."""
+    """A short name of what must be the same at every node; see the head of this file."""
+    if fleet.control is not None:
+        sources = sorted((one.name, one.keeper) for one in fleet.control.sources)
+        return xxhash.xxh64(msgspec.json.encode((SCHEME, sources))).hexdigest()
     same = msgspec.structs.replace(fleet, node="-", state_dir="-", key_files=("-",), routes={}, trust_keeper=False)
-    return xxhash.xxh64(msgspec.json.encode(same, order="deterministic")).hexdigest()
+    encoded = msgspec.json.encode(same, order="deterministic")
+    # Without the part there is nothing of it in the hash: a node of the version before understands this one.
+    return xxhash.xxh64(encoded.removesuffix(b',"control":null}') + b"}").hexdigest()
 
 
 def check_fleet(fleet: Fleet) -> Iterator[str]:
@@ -108,10 +148,13 @@
             yield f"{path}.address: expected an address of its own, it is also fleet.nodes[{addresses[one.address]}]"
         addresses[one.address] = at
     for name, address in fleet.routes.items():
-        if name not in names or address.startswith("unix:") or not address_fits(address):
+        if (name not in names and fleet.control is None) or address.startswith("unix:") or not address_fits(address):
             yield f"fleet.routes: expected host:port by a name in fleet.nodes, got {name!r}: {address!r}"
     if fleet.node not in names:
         yield f"fleet.node: expected a name in fleet.nodes, got {fleet.node!r}"
+    if fleet.control is not None:
+        yield from _check_control(fleet, fleet.control)
+        return
     keepers = len(fleet.keepers)
     if keepers % 2 == 0:
         yield f"fleet.nodes: expected an odd number of keepers, got {keepers}"
@@ -126,6 +169,39 @@
         yield from _check_floor("fleet.members", fleet.members.floor, fleet.members.dials_burst, len(fleet.nodes))
 
 
+def _check_control(fleet: Fleet, control: Control) -> Iterator[str]:
+    own = {one.name: one for one in fleet.nodes}
+    names: set[str] = set()
+    addresses = {one.address: one.name for one in fleet.nodes}
+    for at, one in enumerate(control.sources):
+        path = f"fleet.control.sources[{at}]"
+        if one.name in names:
+            yield f"{path}.name: expected a name of its own, got {one.name!r} again"
+        names.add(one.name)
+        if one.address.startswith("unix:") or not address_fits(one.address):
+            yield f"{path}.address: expected host:port, got {one.address!r}"
+        if addresses.setdefault(one.address, one.name) != one.name:
+            yield f"{path}.address: expected an address of its own, it is also that of {addresses[one.address]!r}"
+        if own.get(one.name, one) != one:
+            yield f"{path}: expected the same line as in fleet.nodes, got another"
+    for at, one in enumerate(fleet.nodes):
+        if one.keeper and one.name not in names:
+            yield f"fleet.nodes[{at}].keeper: expected false, with fleet.control the keepers are among its sources"
+    keepers = sum(one.keeper for one in control.sources)
+    if keepers % 2 == 0:
+        yield f"fleet.control.sources: expected an odd number of keepers, got {keepers}"
+    if len(set(control.groups)) < len(control.groups):
+        yield "fleet.control.groups: expected each name once"
+    # Threat: floors that are each cut out for another number of nodes add up to more than was allowed.
+    for name, is_there in (
+        ("tenants", bool(fleet.tenants)),
+        ("members.dials_per_s", fleet.members.dials_per_s > 0),
+        ("versions", fleet.versions is not None),
+    ):
+        if is_there:
+            yield f"fleet.{name}: expected none with fleet.control, it needs a list of all nodes and no file has one"
+
+
 def _check_floor(path: str, floor: float, burst: float, nodes: int) -> Iterator[str]:
     # Threat: a floor that lets nothing through, found out on the day that the links are cut.
     part = floor * burst / nodes
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from oatlink.settings import SettingsError, load_text
+from oatlink.settings.fleet import Fleet, fleet_hash
 
 BASE = """{
   banks: [{ name: 'b', slots: [[0, 16383]], members: [{ name: 'm', address: '127.0.0.1:1' }] }],
@@ -55,3 +56,74 @@
 def test_a_node_is_one_process() -> None:
     with pytest.raises(SettingsError, match="workers: expected 1 with a fleet part"):
         load_text(f"{BASE} + {{ workers: 2, fleet: {FLEET} }}", "file")
+
+
+# ---- With a part for the stream of control ----
+
+SOURCES = ", ".join(f"{{ name: 's{n}', address: '127.0.0.1:701{n}', keeper: true }}" for n in range(3))
+CONTROL = f"sources: [{SOURCES}], region: 'north', zone: 'n1'"
+READER = f"""{{
+  node: 'a', key_files: ['k'], state_dir: 's', nodes: [{{ name: 'a', address: '127.0.0.1:7001' }}],
+  control: {{ {CONTROL} }},
+}}"""
+TWICE = "{ name: 's1', address: 'h:1' }"
+
+
+def part(more: str = "{}") -> Fleet:
+    found = read(more, READER)
+    assert isinstance(found, Fleet)
+    return found
+
+
+def test_with_control_a_file_names_the_sources_and_its_own_node() -> None:
+    one = part()
+    assert one.own.name == "a" and one.keepers == ("s0", "s1", "s2")
+    assert [each.name for each in one.listed] == ["s0", "s1", "s2", "a"]
+    source = part("{ node: 's1', nodes: [{ name: 's1', address: '127.0.0.1:7011', keeper: true }] }")
+    assert source.own.keeper and [each.name for each in source.listed] == ["s0", "s1", "s2"]
+
+
+@pytest.mark.parametrize(
+    ("more", "is_same"),
+    [
+        ("{ node: 'b', nodes: [{ name: 'b', address: '127.0.0.1:9' }] }", True),
+        ("{ drift: 0.01, most_bytes: 40000, state_dir: 'other', key_files: ['n', 'k'] }", True),
+        ("{ control+: { zone: 'n2', region: 'south', groups: ['g'], relays: 9 } }", True),
+        ("{ control+: { sources: std.reverse(super.sources) } }", True),
+        ("{ control+: { sources: [one { address: 'h:1' + one.name[1] } for one in super.sources] } }", True),
+        ("{ control+: { sources+: [{ name: 's3', address: 'h:1' }] } }", False),
+        ("{ control+: { sources: [one { keeper: one.name == 's0' } for one in super.sources] } }", False),
+    ],
+)
+def test_nodes_greet_one_another_unless_their_majorities_could_differ(more: str, is_same: bool) -> None:
+    assert (fleet_hash(part(more)) == fleet_hash(part())) == is_same
+
+
+def test_files_of_today_greet_as_before() -> None:
+    found = read()
+    assert isinstance(found, Fleet) and found.control is None
+    assert fleet_hash(found) == "51d594a5c271915b"
+
+
+@pytest.mark.parametrize(
+    ("more", "words"),
+    [
+        ("{ control+: { sources: [" + TWICE + "] } }", "fleet.control.sources"),
+        ("{ control+: { sources+: [" + TWICE + "] } }", "fleet.control.sources[3].name: expected a name of its own"),
+        ("{ control+: { sources+: [{ name: 'x', address: 'y' }] } }", "sources[3].address: expected host:port"),
+        ("{ control+: { sources+: [{ name: 'x', address: '127.0.0.1:7001' }] } }", "also that of 'a'"),
+        ("{ control+: { sources+: [{ name: 'x', address: 'h:1', keeper: true }] } }", "odd number of keepers, got 4"),
+        ("{ nodes+: [{ name: 's1', address: 'h:1' }] }", "sources[1]: expected the same line as in fleet.nodes"),
+        ("{ nodes+: [{ name: 'x', address: 'h:1', keeper: true }] }", "fleet.nodes[1].keeper: expected false"),
+        ("{ control+: { groups: ['g', 'g'] } }", "fleet.control.groups: expected each name once"),
+        ("{ control+: { relays: 300 } }", "fleet.control.relays"),
+        ("{ control+: { zone: 'a/b' } }", "fleet.control.zone"),
+        ("{ tenants: [" + T + "] }", "fleet.tenants: expected none with fleet.control"),
+        ("{ members: { dials_per_s: 5 } }", "fleet.members.dials_per_s: expected none with fleet.control"),
+        ("{ versions: {} }", "fleet.versions: expected none with fleet.control"),
+    ],
+)
+def test_a_mistake_in_the_part_for_control_is_one_line(more: str, words: str) -> None:
+    with pytest.raises(SettingsError) as problem:
+        part(more)
+    assert words in str(problem.value) and "\n" not in str(problem.value)
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -22,7 +22,7 @@
 from oatlink.fleet.shell.transport import Transport
 from oatlink.lab.embedded import port_of, reserve
 from oatlink.lab.fleet.proxy import LinkProxy
-from oatlink.settings.fleet import Fleet, FleetNode, fleet_hash
+from oatlink.settings.fleet import Control, Fleet, FleetNode, fleet_hash
 from tests.fleet.life_strangers import Stranger
 from tests.scenes import scene
 
@@ -39,10 +39,13 @@
 class Node:
     """One node's transport, and what it has heard."""
 
-    def __init__(self, fleet: Fleet, incarnation: int) -> None:
+    def __init__(self, fleet: Fleet, incarnation: int, unlisted: int = 0) -> None:
         self.heard: list[tuple[str, int]] = []
         self.lines: list[str] = []
-        self.transport = Transport(fleet, incarnation, self.hear, lambda event, text: self.lines.append(text), 5)
+        self.failed: list[str] = []
+        self.transport = Transport(
+            fleet, incarnation, self.hear, lambda _, text: self.lines.append(text), 5, self.failed.append, unlisted
+        )
         self.counters = self.transport.counters
 
     def hear(self, sender: str, message: m.AnyMessage) -> None:
@@ -78,10 +81,18 @@
     def port(self, name: str) -> int:
         return port_of(self.reserved[name])
 
-    def node(self, name: str, incarnation: int = 1, **more: Any) -> Node:
-        self.made.append(Node(msgspec.structs.replace(self.fleet, node=name, **more), incarnation))
+    def node(self, name: str, incarnation: int = 1, unlisted: int = 0, **more: Any) -> Node:
+        self.made.append(Node(msgspec.structs.replace(self.fleet, node=name, **more), incarnation, unlisted))
         return self.made[-1]
 
+    def lone(self, name: str, unlisted: int) -> Node:
+        """A node whose settings list no other that is there."""
+        control = Control(tuple(FleetNode(f"s{at}", f"127.0.0.1:{at}", True) for at in (1, 2, 3)), "r", "z")
+        own = tuple(one for one in self.fleet.nodes if one.name == name)
+        fleet = msgspec.structs.replace(self.fleet, nodes=(msgspec.structs.replace(own[0], keeper=False),))
+        self.like = msgspec.structs.replace(fleet, control=control)
+        return self.node(name, 1, unlisted, nodes=self.like.nodes, control=control).start()
+
     async def link(self, to: str) -> tuple[LinkProxy, dict[str, str]]:
         """A link to a node that can be made bad, and the routes that lead over it."""
         one = LinkProxy(("127.0.0.1", self.port(to)), 3)
@@ -439,3 +450,55 @@
     for name, text in (("pipe", "expected a file"), (".", "expected a file"), ("none", "No such file")):
         with pytest.raises(FleetError, match=text):
             read_keys((str(tmp_path / name),))
+
+
+# ---- Nodes that the settings do not list ----
+
+
+@scene(placed)
+async def test_a_name_that_is_not_listed_is_known_by_word_and_heard_by_its_key(place: Place) -> None:
+    a, b, c = place.lone("a", 1), place.lone("b", 1), place.lone("c", 1)
+    for one in (a, c):
+        one.transport.know("b", f"127.0.0.1:{place.port('b')}")
+    b.say("a", 1)
+    assert b.counters["dropped_name"] == 1
+    b.transport.know("a", f"127.0.0.1:{place.port('a')}")
+    await reaches(b, "a", a, 2)
+    await reaches(a, "b", b, 3)
+    # One more than it hears at once is refused until the first has gone; so is whoever has no key of ours.
+    await until(lambda: c.say("b", 4) or b.counters["dropped_full"] > 0)
+    stranger = await Raw.at(place.port("b"))
+    stranger.writer.write(stranger.frames(place.like, 1, secret=b"o" * 40))
+    await until(lambda: b.counters["dropped_tag"] == 1)
+    await a.transport.close()
+    await reaches(c, "b", b, 5)
+    assert {sender for sender, _ in b.heard} == {"a", "c"}
+
+
+@scene(placed)
+async def test_so_many_are_known_and_the_one_spoken_to_longest_ago_goes_first(place: Place) -> None:
+    a, b = place.lone("a", 2), place.lone("b", 2)
+    b.transport.know("a", f"127.0.0.1:{place.port('a')}")
+    for number in range(50):
+        b.say("a", number)
+        b.transport.know(f"x{number}", "127.0.0.1:1")
+    assert [*b.transport._known] == ["a", "x49"] and b.counters["dropped_known"] == 49
+    b.transport.forget("a")  # what was said before goes out all the same
+    b.say("a", 50)
+    await until(lambda: len(a.heard) == 50)
+    assert a.heard[-1] == ("b", 49) and b.counters["dropped_name"] == 1
+    await until(lambda: not b.transport._retired)
+
+
+@scene(placed)
+async def test_a_node_that_has_moved_is_found_and_a_broken_link_is_told(place: Place) -> None:
+    b = place.lone("b", 2)
+    b.transport.know("a", f"127.0.0.1:{place.port('c')}")
+    b.say("a", 1)
+    await until(lambda: "a" in b.failed)
+    a = place.lone("a", 2)
+    b.transport.know("a", f"127.0.0.1:{place.port('a')}")
+    await reaches(b, "a", a, 2)
+    b.failed.clear()
+    await a.transport.close()
+    await until(lambda: b.failed == ["a"])
