Fleet nodes are known by their greeting's address; the keeper's line to its file is one module

The cores answer whoever speaks to them, and links are simplex: a node that no settings list must be dialled back. Its Hello tells where it listens, proved by the key; the newest greeting of the name holds.

--- a/oatlink/fleet/envelope.py
+++ b/oatlink/fleet/envelope.py
@@ -49,13 +49,14 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True):
-    """What a dialler says of itself; `to` is whom it means."""
+    """What a dialler says of itself; `to` is whom it means, `address` where it listens, if that is to be known."""
 
     version: int
     node: str
     incarnation: int
     fleet: str
     to: str
+    address: str = ""
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/oatlink/fleet/shell/dialled.py
+++ b/oatlink/fleet/shell/dialled.py
@@ -30,9 +30,11 @@
         counters: Counter[str],
         draws: random.Random,
         failed: Callable[[str], None] = lambda _: None,
+        address: str = "",
     ) -> None:
         self.node, self.incarnation, self.fleet, self.key = node, incarnation, fleet, key
         self.say, self.counters, self.draws, self.failed = say, counters, draws, failed
+        self.address = address  # where this node listens, where it is to be known by its greeting
         self.ticks = 0
 
 
@@ -118,7 +120,7 @@
         else:
             mouth = self.mouth
             self._seal = envelope.Seal(mouth.key, met.nonce, mouth.node, mouth.incarnation)
-            hello = envelope.Hello(VERSION, mouth.node, mouth.incarnation, mouth.fleet, peer)
+            hello = envelope.Hello(VERSION, mouth.node, mouth.incarnation, mouth.fleet, peer, mouth.address)
             self.write([envelope.encode(hello)])
             if not self.greeted.done():
                 self.greeted.set_result(True)
--- a/oatlink/fleet/shell/door.py
+++ b/oatlink/fleet/shell/door.py
@@ -15,16 +15,24 @@
 from oatlink.fleet.messages import VERSION
 from oatlink.fleet.shell.ear import Caller, Ear
 from oatlink.fleet.shell.inbound import Incoming
+from oatlink.settings.parts import address_fits
 
 MOST_UNPROVED = 64
 MOST_A_PEER = 4
 MOST_NAME = 64  # characters of a name that no settings list
+MOST_ADDRESS = 128  # of an address that is not of the settings
 ACCEPTS_A_TURN = 16
 PROVE_TICKS = 8  # until a Hello must have come: 2 s
 ALIVE_TICKS = 12  # how long a connection speaks for its process after a frame: 3 s
 SILENT_TICKS = 180  # its other end would have closed it long ago: 45 s
 
 
+def is_dialled(address: str) -> bool:
+    """Whether a peer's word may be taken for a node's address."""
+    fits = len(address) <= MOST_ADDRESS and address.isascii() and not address.startswith("unix:")
+    return fits and address_fits(address)
+
+
 class Door:
     """What all accepted connections of a node share, and the door they come through.
 
@@ -160,6 +168,8 @@
         if len(peers) >= MOST_A_PEER:
             peers[0].close()  # the oldest: its other end may be long gone
         one.name, one.incarnation = hello.node, hello.incarnation
+        if is_dialled(hello.address):
+            one.address = hello.address
         self._unproved.pop(one, None)
         if hello.node not in self._proved:
             self._strange += hello.node not in self.peers
@@ -167,6 +177,10 @@
         self._proved[hello.node].append(one)
         return True
 
+    def address_of(self, name: str) -> str:
+        """Where the process listens that has this name, by its newest greeting; empty where it is not heard."""
+        return self._proved[name][-1].address if name in self._proved else ""
+
     def refuse(self, counter: str, peer: str = "", text: str = "") -> None:
         """Count it, and say it where there is something to say."""
         self.ear.counters[counter] += 1
--- a/oatlink/fleet/shell/ear.py
+++ b/oatlink/fleet/shell/ear.py
@@ -24,6 +24,7 @@
     incarnation: int
     nonce: bytes
     heard: int
+    address: str  # where it listens, as it says; empty if it does not
 
     def acknowledge(self) -> None:
         """Tell the sender what has come."""
--- a/oatlink/fleet/shell/inbound.py
+++ b/oatlink/fleet/shell/inbound.py
@@ -17,7 +17,7 @@
 
     def __init__(self, door: Porter, ear: Ear) -> None:
         self.door, self.ear = door, ear
-        self.name, self.incarnation = "", 0
+        self.name, self.incarnation, self.address = "", 0, ""
         self.nonce = secrets.token_bytes(envelope.NONCE)
         self.heard = ear.ticks
         self._seal: envelope.Seal | None = None
--- a/oatlink/fleet/shell/node.py
+++ b/oatlink/fleet/shell/node.py
@@ -5,16 +5,13 @@
 
 import asyncio
 import os
-from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 
 from oatlink.fleet import messages as f
 from oatlink.fleet.gate import Alone, AnyNews
 from oatlink.fleet.node import Node
-from oatlink.fleet.registers.acceptor import Acceptor
 from oatlink.fleet.shell.errands import Primary, ask_marker, run_step
-from oatlink.fleet.shell.journal import Journal, kept_in, row_of, row_of_standing, standing_in
-from oatlink.fleet.shell.keys import FleetError
+from oatlink.fleet.shell.keeping import Keeping
 from oatlink.fleet.shell.transport import Transport
 from oatlink.gateway.clock import now_us
 from oatlink.settings.fleet import Fleet
@@ -46,16 +43,13 @@
         self._incarnation = int.from_bytes(os.urandom(6), "big")
         self._seed = seed ^ self._incarnation
         self._transport = Transport(fleet, self._incarnation, self._heard, note, self._seed)
-        self._journal: Journal | None = None
+        self._keeping = Keeping(fleet, self._said, note)
         self._node: Node | None = None
-        self._keeps: deque[f.Keep] = deque()
-        self._keeping: asyncio.Task[None] | None = None
         self._errands: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._look: asyncio.TimerHandle | None = None
         self._tickets: dict[int, asyncio.Future[str]] = {}
         self._last_ticket = 0
-        self._silent = False  # the keeper's file has failed: it answers for nothing any more
 
     @property
     def counters(self) -> Mapping[str, int]:
@@ -83,23 +77,11 @@
             self._incarnation,
             self._seed,
             now_us(),
-            self._keeper() if self._fleet.own.keeper else None,
+            self._keeping.keeper(self._seed) if self._fleet.own.keeper else None,
         )
         self._transport.start()
         self._looked()
 
-    def _keeper(self) -> Acceptor | None:
-        life = int.from_bytes(os.urandom(5), "big") + 1
-        try:
-            self._journal, records, _, new = Journal.open(self._fleet.state_dir, self._fleet.node, life)
-            standing = None if new else standing_in(records)
-            fleet = self._fleet
-            trusted = fleet.trust_keeper and standing is None
-            return Acceptor(fleet.node, fleet.keepers, kept_in(records), standing, self._seed, trusted)
-        except (FleetError, OSError) as error:
-            self._note("keeper off", str(error))
-            return None
-
     async def stop(self) -> None:
         """Give back what is held, for `LEAVE_S` at most, and close."""
         for timer in (self._look, self._timer):
@@ -115,11 +97,9 @@
             self._node = None
         for task in self._errands:
             task.cancel()
-        if self._keeping is not None:
-            self._keeping.cancel()
+        self._keeping.stop()
         await self._transport.close()
-        if self._journal is not None:
-            await self._journal.close()
+        await self._keeping.close()
         for future in self._tickets.values():
             future.cancel()
 
@@ -167,10 +147,7 @@
             return [("node", "off")]
         up = [one.name for one in self._fleet.nodes if self._transport.up(one.name)]
         links = [("links up", " ".join(up)), ("links", " ".join(f"{k}={v}" for k, v in sorted(self.counters.items())))]
-        rows = self._node.rows(now_us())
-        if self._silent:  # the node itself does not know of its file
-            rows = [(name, "silent: its file has failed" if name == "keeper" else text) for name, text in rows]
-        return rows + links
+        return self._keeping.rows(self._node.rows(now_us())) + links
 
     # ---- Between node and sockets ----
 
@@ -197,7 +174,7 @@
             if isinstance(one, f.Tell):
                 self._transport.send(one.to, one.message)
             elif isinstance(one, f.Keep):
-                self._keep(one)
+                self._keeping.keep(one)
             elif isinstance(one, f.Tuned):
                 self._tell(one.news)  # type: ignore[arg-type]
             elif isinstance(one, f.Note):
@@ -221,35 +198,12 @@
         if wait_us < LOOK_S * 1e6:  # what is due later is seen by the next look
             self._timer = asyncio.get_running_loop().call_later(max(wait_us, 1_000) / 1e6, self._ticked)
 
-    def _keep(self, keep: f.Keep) -> None:
-        """Put in line what must be on disk before it is answered."""
-        if self._journal is None or self._silent:
-            return
-        self._keeps.append(keep)
-        self._journal.append(row_of(one) for one in keep.registers)
-        if keep.standing is not None:
-            self._journal.append([row_of_standing(keep.standing)])
-        if self._keeping is None:
-            self._keeping = asyncio.ensure_future(self._kept())
-
-    async def _kept(self) -> None:
-        """Commit what is in line, then say it; a file that fails silences the keeper for good."""
-        assert self._journal is not None
-        try:
-            while self._keeps:
-                count = len(self._keeps)
-                await self._journal.commit()
-                for _ in range(count):
-                    for one in self._keeps.popleft().then:
-                        if one.to == self._fleet.node:
-                            self._heard(one.to, one.message)  # type: ignore[arg-type]
-                        else:
-                            self._transport.send(one.to, one.message)
-        except FleetError as error:
-            self._silent = True
-            self._note("keeper silent", str(error))
-        finally:
-            self._keeping = None
+    def _said(self, one: f.Tell) -> None:
+        """What waited for the keeper's file."""
+        if one.to == self._fleet.node:
+            self._heard(one.to, one.message)  # type: ignore[arg-type]
+        else:
+            self._transport.send(one.to, one.message)
 
     def _errand(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
