Stream of control runs over the fleet's transport: a station, its shell, operators' word

control/station.py puts a source with its registers, or a reader, behind one set of calls, and hears register words of sources only. shell/control.py runs it over the transport with one timer; in a gateway it stands where FleetNode does without a control part.

--- a/oatlink/core/operators.py
+++ b/oatlink/core/operators.py
@@ -16,6 +16,7 @@
 from oatlink.protocols.resp import Array, Map, Simple, Value, encode, error
 
 ADMIN = frozenset((b"MEMBERS", b"BANKS", b"ELECTIONS", b"SESSIONS", b"INSPECT", b"PATHS"))
+MOST_WORDS = 6  # of CONTROL PUT scope key value version
 MOST_SESSIONS = 1_000  # shown to operators at once
 
 
@@ -92,13 +93,16 @@
         if name in (b"FLEET", b"LAYOUT") and len(args) <= 3:
             self._send_errand(session, name, args)
             return
+        if name == b"CONTROL" and len(args) <= MOST_WORDS:
+            self._begin_errand(session, "control", msgspec.msgpack.encode(args[1:]))
+            return
         if name in ADMIN and len(args) == 1:
             self._say(session, encode(self._admin_value(name), session.protocol))
             return
         spec = find(args[0])
         if spec is None or spec.name not in ("ping", "info", "hello", "auth", "client", "command", "quit", "echo"):
             words = " ".join(sorted(one.decode() for one in ADMIN))
-            words = f"INFO, PING, RECORD WORD, FLEET, LAYOUT WORD and {words}"
+            words = f"INFO, PING, RECORD WORD, FLEET, LAYOUT WORD, CONTROL WORD and {words}"
             self._say(session, error(f"ERR not served to operators; they have {words}"))
         elif not spec.arity_fits(len(args)):
             self._say(session, error(f"ERR wrong number of arguments for '{spec.name}' command"))
@@ -123,12 +127,15 @@
         if word not in ("rows", "status", "propose", "back", "resume") or len(args) != texts:
             self._say(session, error("ERR expected FLEET, or LAYOUT with STATUS, PROPOSE TEXT, BACK or RESUME"))
             return
+        self._begin_errand(session, word, args[2] if word == "propose" else b"")
+
+    def _begin_errand(self, session: Session, word: str, text: bytes) -> None:
         if not self._gate.on:
             self._say(session, error("ERR no fleet in the settings"))
             return
         session.errands.append(Place())
         session.places.append(session.errands[-1])
-        self._out.append(m.Errand(session.client, word, args[2] if word == "propose" else b""))
+        self._out.append(m.Errand(session.client, word, text))
 
     def _on_replied(self, given: m.AnyInput) -> None:
         """The fleet's node has answered an operator; answers come in the order of the words."""
--- a/oatlink/fleet/control/source.py
+++ b/oatlink/fleet/control/source.py
@@ -207,5 +207,5 @@
             return done(0, mistake or "this source is about to stop")
         return self._logs.offer(scope, entries, base, done, now_us, anew) + self.tick(now_us)
 
-    def _take(self, scope: str) -> bool:
-        return self._logs.open(scope) is not None
+    def _take(self, scopes: tuple[str, ...]) -> bool:
+        return all(self._logs.open(one) is not None for one in scopes)
--- /dev/null
+++ b/oatlink/fleet/control/station.py
@@ -0,0 +1,162 @@
+"""One process in the stream of control: a source with its registers, or a reader. No I/O.
+
+What may live here: which of them a process is by its settings, and which part a message or a register's answer is for.
+What is left of the effects is the shell's: `Tell`, `Keep`, `Known`, `InForce`, `Replied`, `Note`.
+
+Threat: a process that the key has proved, and that no settings list, which asks the keepers for registers: only sources
+are heard on them.
+"""
+
+from collections import Counter, deque
+from collections.abc import Mapping
+
+from oatlink.fleet import messages as f
+from oatlink.fleet.control.checks import Checker
+from oatlink.fleet.control.reader import Reader
+from oatlink.fleet.control.source import Source
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.registers.acceptor import Acceptor
+from oatlink.fleet.registers.proposer import Proposer
+from oatlink.settings.fleet import Control, Fleet
+
+REGISTERS = (
+    f.Prepare,
+    f.Accept,
+    f.Look,
+    f.Copy,
+    f.Copied,
+    f.Promise,
+    f.Accepted,
+    f.Outbid,
+    f.Looked,
+)
+
+
+class Station:
+    """Effects come back in the order in which they must be carried out. Times are microseconds of the own clock."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        control: Control,
+        incarnation: int,
+        seed: int,
+        checker: Checker,
+        now_us: int,
+        keeper: Acceptor | None = None,
+    ) -> None:
+        """`incarnation` is above that of any process before under this name; `keeper`: this source's own."""
+        self.name, self.keeper = fleet.node, keeper
+        self.dropped: Counter[str] = Counter()
+        place = c.Place(fleet.node, fleet.own.address)
+        sources = tuple(c.Place(one.name, one.address) for one in control.sources)
+        self.sources = tuple(one.name for one in sources)
+        self.source: Source | None = None
+        self.reader: Reader | None = None
+        self._proposer: Proposer | None = None
+        if fleet.node in self.sources:
+            self._proposer = Proposer(fleet.node, incarnation, fleet.keepers, seed)
+            self.source = Source(place, control.region, incarnation, sources, fleet.drift, seed, checker, now_us)
+        else:
+            self.reader = Reader(
+                place,
+                control.region,
+                control.zone,
+                control.groups,
+                incarnation,
+                sources,
+                control.relays,
+                fleet.drift,
+                seed,
+                now_us,
+            )
+
+    @property
+    def _core(self) -> Source | Reader:
+        core = self.source or self.reader
+        assert core is not None
+        return core
+
+    @property
+    def due_us(self) -> int:
+        """When `tick` has something to do, if nothing comes before."""
+        parts = (self.keeper, self._proposer, self._core)
+        return min(one.due_us for one in parts if one is not None)
+
+    # ---- Questions ----
+
+    def head(self, scope: str) -> c.Head:
+        """What is in force here."""
+        return self._core.head(scope)
+
+    def entries(self, scope: str) -> Mapping[str, bytes]:
+        """The entries in force."""
+        return self._core.entries(scope)
+
+    def age_us(self, now_us: int) -> int:
+        """How old what is known here is at most; `NEVER_US` where no source was ever heard."""
+        return self._core.age_us(now_us)
+
+    def rows(self, now_us: int) -> list[tuple[str, str]]:
+        """What this process believes, for operators: name and text."""
+        rows = self._core.rows(now_us)
+        if self.keeper is not None:
+            rows.append(("keeper", "votes" if self.keeper.begun else "does not vote yet"))
+        return rows
+
+    # ---- What happens ----
+
+    def receive(self, sender: str, message: f.Message, now_us: int) -> list[f.Effect]:
+        """A message has come from a process whose name the key has proved."""
+        return self._run(self._take(sender, message, now_us), now_us)
+
+    def tick(self, now_us: int) -> list[f.Effect]:
+        """Time has passed."""
+        effects: list[f.Effect] = []
+        for part in (self.keeper, self._proposer, self._core):
+            if part is not None:
+                effects += part.tick(now_us)
+        return self._run(effects, now_us)
+
+    def silent(self, peer: str, now_us: int) -> list[f.Effect]:
+        """A link to it has failed."""
+        return self._run(self._core.silent(peer, now_us), now_us)
+
+    def offer(self, ticket: int, scope: str, entries: tuple[c.Entry, ...], base: int, now_us: int) -> list[f.Effect]:
+        """An operator's change, made for version `base` (-1: any); a `Replied` follows."""
+        if self.source is None:
+            return [f.Replied(ticket, f"refused: no source; offer it at one of {' '.join(self.sources)}")]
+        return self._run(self.source.offer(ticket, scope, entries, base, now_us), now_us)
+
+    def leave(self, now_us: int) -> list[f.Effect]:
+        """An orderly end."""
+        return self._run(self._core.leave(now_us), now_us)
+
+    # ---- Between the parts ----
+
+    def _run(self, effects: list[f.Effect], now_us: int) -> list[f.Effect]:
+        """Carry effects from part to part until only the shell's are left."""
+        queue, out = deque(effects), []
+        while queue:
+            one = queue.popleft()
+            if isinstance(one, f.Read) and self._proposer is not None:
+                queue.extend(self._proposer.read(one.ask, one.key, now_us))
+            elif isinstance(one, f.Change) and self._proposer is not None:
+                queue.extend(self._proposer.change(one.ask, one.key, one.fence, one.value, now_us))
+            elif isinstance(one, f.Answer):
+                queue.extend(self.source.answered(one, now_us) if self.source is not None else [])
+            elif isinstance(one, f.Tell) and one.to == self.name:
+                queue.extend(self._take(self.name, one.message, now_us))
+            else:
+                out.append(one)
+        return out
+
+    def _take(self, sender: str, message: f.Message, now_us: int) -> list[f.Effect]:
+        if not isinstance(message, REGISTERS):
+            return self._core.receive(sender, message, now_us)
+        if sender not in self.sources or self._proposer is None:
+            self.dropped["register"] += 1
+            return []
+        if isinstance(message, f.Promise | f.Accepted | f.Outbid | f.Looked):
+            return self._proposer.receive(sender, message, now_us)
+        return self.keeper.receive(sender, message, now_us) if self.keeper is not None else []
--- a/oatlink/fleet/messages/__init__.py
+++ b/oatlink/fleet/messages/__init__.py
@@ -15,6 +15,9 @@
     VERSION,
     Message,
 )
+from oatlink.fleet.messages.control import (
+    AnyControl,
+)
 from oatlink.fleet.messages.effects import (
     Answer,
     AskMarker,
@@ -86,6 +89,7 @@
     | Adopted
     | NotSequencer
     | Alive
+    | AnyControl
 )
 
 __all__ = [
@@ -95,6 +99,7 @@
     "Adopted",
     "Alive",
     "Answer",
+    "AnyControl",
     "AnyMessage",
     "AskMarker",
     "Ballot",
--- /dev/null
+++ b/oatlink/fleet/shell/control.py
@@ -0,0 +1,230 @@
+"""The one object that a process holds of the stream of control: sockets, the keeper's file and one timer.
+
+It decides nothing but what it is asked in words: what comes is handed to the station, what that asks for is carried out
+in order. Nothing is saved but what the keeper's file keeps.
+"""
+
+import asyncio
+import os
+import time
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from oatlink.fleet import messages as f
+from oatlink.fleet.control.checks import Entries
+from oatlink.fleet.control.station import Station
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.shell.keeping import Keeping
+from oatlink.fleet.shell.transport import Transport
+from oatlink.gateway.clock import now_us
+from oatlink.settings.fleet import Fleet
+
+MOST_READERS = 4_096  # names beside the sources that a source hears at once, and knows
+MOST_CHILDREN = 512  # the same at a reader: its children, upstream, spare, and some who have just gone
+LEAST_WAIT_S, LONGEST_WAIT_S = 0.001, 60.0  # of the timer
+WORD_S = 35.0  # a source says after 30 s that a change's end is not known
+SPOKEN = "expected CONTROL STATUS, or CONTROL PUT scope key value [version]"
+
+_words: msgspec.msgpack.Decoder[tuple[bytes, ...]] = msgspec.msgpack.Decoder(tuple[bytes, ...])
+
+
+def new_incarnation() -> int:
+    """Above that of any process before, as far as the machine's calendar goes forward: milliseconds, and a draw.
+
+    Threat: a calendar that was set back. The name's old process is then taken for the newer one, and this one is
+    refused until the old one counts as gone.
+    """
+    return time.time_ns() // 1_000_000 << 16 | int.from_bytes(os.urandom(2), "big")
+
+
+def mistake_in(scope: str, now: Entries, entries: tuple[c.Entry, ...]) -> str:
+    """The check on what an operator offers: each value is JSON, so that one that is cut off does not go out."""
+    for one in entries:
+        try:
+            msgspec.json.decode(one.value or b"0")
+        except (msgspec.DecodeError, ValueError):
+            return f"{one.key[:64]!r}: expected JSON"
+    return ""
+
+
+class ControlNode:
+    """Takes part with `start`, leaves with `stop`. It stands in a gateway where `FleetNode` does without `control`."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        note: Callable[[str, str], None],
+        in_force: Callable[[c.InForce], None] = lambda _: None,
+    ) -> None:
+        """`in_force` is told of each scope that moves. Reads the keys: raises `FleetError`."""
+        assert fleet.control is not None
+        self._fleet, self._control, self._note, self._in_force = fleet, fleet.control, note, in_force
+        self._incarnation = new_incarnation()
+        self._seed = seed ^ self._incarnation
+        self._is_source = any(one.name == fleet.node for one in fleet.control.sources)
+        unlisted = MOST_READERS if self._is_source else MOST_CHILDREN
+        told = self._heard, note, self._seed, self._failed, unlisted
+        self._transport = Transport(fleet, self._incarnation, *told)
+        self._keeping = Keeping(fleet, self._said, note)
+        self._station: Station | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._tickets: dict[int, asyncio.Future[str]] = {}
+        self._last_ticket = 0
+
+    @property
+    def counters(self) -> Mapping[str, int]:
+        """What the links did and dropped, by reason."""
+        return self._transport.counters
+
+    @property
+    def station(self) -> Station | None:
+        """The cores; None where this process does not take part."""
+        return self._station
+
+    # ---- Life ----
+
+    async def start(self) -> None:
+        """Open the port and the file, and take part.
+
+        Where the own address is taken, another process has this node's name: this one goes on without the stream.
+        """
+        try:
+            self._transport.bind()
+        except OSError as error:
+            self._note("fleet off", f"{self._fleet.own.address}: {error.strerror}; another process may be this node")
+            return
+        keeper = self._keeping.keeper(self._seed) if self._fleet.own.keeper else None
+        self._station = Station(self._fleet, self._control, self._incarnation, self._seed, mistake_in, now_us(), keeper)
+        self._transport.start()
+        self._tick()
+
+    async def stop(self) -> None:
+        """Say that this process leaves, and close."""
+        if self._station is not None:
+            self._do(self._station.leave(now_us()))
+            self._station = None
+        if self._timer is not None:
+            self._timer.cancel()
+        self._keeping.stop()
+        await self._transport.close()
+        await self._keeping.close()
+        for future in self._tickets.values():
+            future.cancel()
+
+    # ---- What the gateway calls ----
+
+    def seek(self) -> None:
+        """See `FleetNode.seek`: nothing waits for the stream."""
+
+    def listed(self, members: Mapping[str, str]) -> None:
+        """See `FleetNode.listed`."""
+
+    def saw(self, member: str, kind: str, history: str = "", offset: int = -1) -> None:
+        """See `FleetNode.saw`."""
+
+    def failed_over(self, bank: str) -> None:
+        """See `FleetNode.failed_over`."""
+
+    async def word(self, word: str, text: bytes = b"") -> str:
+        """An operator's word, and what to answer: one line, but for the status."""
+        if word != "control":
+            return "no versions in the fleet's settings"
+        if self._station is None:
+            return "the fleet is off here"
+        try:
+            return await self._spoken(*[one.decode() for one in _words.decode(text)])
+        except UnicodeDecodeError:
+            return "refused: expected UTF-8"
+
+    async def _spoken(self, word: str = "STATUS", *words: str) -> str:
+        if word.upper() == "STATUS" and not words:
+            return "\n".join(f"{name}: {text}" for name, text in self.rows())
+        if word.upper() != "PUT" or not 3 <= len(words) <= 4:
+            return f"refused: {SPOKEN}"
+        scope, key, value, *base = words
+        if base and not (base[0].isascii() and base[0].isdigit() and len(base[0]) <= 15):
+            return f"refused: expected a version's number, got {base[0][:64]!r}"
+        return await self.offer(scope, (c.Entry(key, value.encode()),), int(base[0]) if base else -1)
+
+    async def offer(self, scope: str, entries: tuple[c.Entry, ...], base: int = -1) -> str:
+        """Offer a change, made for version `base` (-1: any): what came of it, in one line."""
+        if self._station is None:
+            return "refused: the fleet is off here"
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._tickets[ticket] = future
+        try:
+            async with asyncio.timeout(WORD_S):
+                self._do(self._station.offer(ticket, scope, entries, base, now_us()))
+                return await future
+        except TimeoutError:
+            return "unknown: it may have happened, or may yet"
+        finally:
+            self._tickets.pop(ticket, None)
+
+    def rows(self) -> list[tuple[str, str]]:
+        """For operators."""
+        if self._station is None:
+            return [("node", "off")]
+        dropped = dict(self.counters) | {f"dropped_{name}": n for name, n in self._station.dropped.items()}
+        links = ("links", " ".join(f"{name}={n}" for name, n in sorted(dropped.items())))
+        return [("node", self._fleet.node), *self._keeping.rows(self._station.rows(now_us())), links]
+
+    # ---- Between station and sockets ----
+
+    def _heard(self, sender: str, message: f.AnyMessage) -> None:
+        if self._station is not None:
+            self._do(self._station.receive(sender, message, now_us()))
+
+    def _failed(self, peer: str) -> None:
+        if self._station is not None:
+            self._do(self._station.silent(peer, now_us()))
+
+    def _said(self, one: f.Tell) -> None:
+        """What waited for the keeper's file."""
+        if one.to == self._fleet.node:
+            self._heard(one.to, one.message)  # type: ignore[arg-type]
+        else:
+            self._transport.send(one.to, one.message)
+
+    def _tick(self) -> None:
+        self._timer = None
+        if self._station is not None:
+            self._do(self._station.tick(now_us()))
+
+    def _do(self, effects: list[f.Effect]) -> None:
+        """Carry out, in order."""
+        for one in effects:
+            if isinstance(one, f.Tell):
+                self._transport.send(one.to, one.message)
+            elif isinstance(one, f.Keep):
+                self._keeping.keep(one)
+            elif isinstance(one, c.Known):
+                self._know(one)
+            elif isinstance(one, c.InForce):
+                self._in_force(one)
+            elif isinstance(one, f.Note):
+                self._note(one.event, one.text)
+            elif isinstance(one, f.Replied):
+                future = self._tickets.get(one.ticket)
+                if future is not None and not future.done():
+                    future.set_result(one.text)
+        self._set_timer()
+
+    def _know(self, known: c.Known) -> None:
+        if known.forget:
+            self._transport.forget(known.place.name)
+        else:
+            self._transport.know(known.place.name, known.place.address)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._station is not None:
+            wait_s = (self._station.due_us - now_us()) / 1e6
+            wait_s = min(LONGEST_WAIT_S, max(LEAST_WAIT_S, wait_s))
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
--- a/oatlink/fleet/shell/node.py
+++ b/oatlink/fleet/shell/node.py
@@ -127,6 +127,8 @@
 
     async def word(self, word: str, text: bytes = b"") -> str:
         """An operator's word about versions, and what to answer."""
+        if word == "control":
+            return "no control in the fleet's settings"
         if self._node is None:
             return "the fleet is off here"
         self._last_ticket += 1
--- a/oatlink/gateway/fleet.py
+++ b/oatlink/gateway/fleet.py
@@ -9,6 +9,8 @@
 from oatlink.core import messages as m
 from oatlink.core.classify import DEFAULT_READ, DEFAULT_WRITE
 from oatlink.fleet.gate import AnyNews
+from oatlink.fleet.messages.control import InForce
+from oatlink.fleet.shell.control import ControlNode
 from oatlink.fleet.shell.errands import Primary
 from oatlink.fleet.shell.node import FleetNode
 from oatlink.gateway.server import Gateway
@@ -28,8 +30,19 @@
         """Raises `FleetError`."""
         assert settings.fleet is not None
         self._gateway, self._settings = gateway, settings
+        self.node = self._control_node() if settings.fleet.control is not None else self._fleet_node()
+        self._words = asyncio.Lock()  # one at a time: their answers are told apart by their order
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _control_node(self) -> FleetNode | ControlNode:
+        assert self._settings.fleet is not None
+        return ControlNode(self._settings.fleet, self._settings.seed, self._gateway.notes.note, self._in_force)
+
+    def _fleet_node(self) -> FleetNode | ControlNode:
+        settings, gateway = self._settings, self._gateway
+        assert settings.fleet is not None
         longest_us = 1_000 * max(one.deadline_ms for one in (*settings.classes, DEFAULT_READ, DEFAULT_WRITE))
-        self.node = FleetNode(
+        return FleetNode(
             settings.fleet,
             {one.name: bank.name for bank in settings.banks for one in bank.members},
             longest_us,
@@ -40,8 +53,11 @@
             primary=self._primary,
             note=gateway.notes.note,
         )
-        self._words = asyncio.Lock()  # one at a time: their answers are told apart by their order
-        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _in_force(self, news: InForce) -> None:
+        """Nothing of a gateway is set by the stream yet: that it came is a line."""
+        head = news.head
+        self._gateway.notes.note("control", f"{head.scope} is at version {head.epoch}.{head.version}")
 
     def carry(self, effect: m.Seek | m.Errand | m.Observed | m.Listing) -> None:
         """Do what the engine asks of the fleet."""
@@ -77,7 +93,7 @@
                 except SettingsError as error:
                     text = str(error)
             else:
-                text = await self.node.word(errand.word)
+                text = await self.node.word(errand.word, errand.text)
             self._gateway.feed(m.Replied(errand.client, text))
 
     async def stop(self) -> None:
