--- a/oatlink/fleet/control/logs.py
+++ b/oatlink/fleet/control/logs.py
@@ -3,20 +3,21 @@
 What may live here: opening a scope, handing a word or an answer to its log, serving another source what it lacks, and
 the turn in which next slots are read. What a version means lives elsewhere: `moved` is told of each.
 
-Freshness. Each register's answer is a majority's word. In turn each scope's next slot is read, one a second at least
-and each scope once in `ROUND_US`, so a version that nobody told of is noticed by then. With an answer within `FRESH_US`
-the age is 0, else the time since it was asked for.
+Freshness. Each register's answer is a majority's word. In turn each scope's next slot is read, two a second at least
+and each scope once in `ROUND_US`, so a version that nobody told of is noticed by then. With an answer that was asked
+for within `FRESH_US` the age is 0, else the time since that.
 """
 
 from collections.abc import Callable
 from math import ceil
 
 from oatlink.fleet.control.age import in_ms
+from oatlink.fleet.control.bounds import is_scope
 from oatlink.fleet.control.checks import Checker, Entries
 from oatlink.fleet.control.log import Log
 from oatlink.fleet.control.offers import Done
 from oatlink.fleet.control.peers import Peers
-from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope
+from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, key_of
 from oatlink.fleet.control.slots import SLOTS, scope_of_slot
 from oatlink.fleet.control.table import Table
 from oatlink.fleet.messages import control as c
@@ -26,6 +27,7 @@
 FRESH_US = 1_000_000
 ROUND_US = 5_000_000
 MOST_LOGS = 100  # scopes; what keepers have room for (`slots`)
+MOST_UNKNOWN = 60  # of them on readers' words alone: 19 zones with their names, 5 regions, some groups nobody made yet
 ACKED = SLOTS // 4  # so many versions are told of at once, so that a burst does not wait for a beat to use slots again
 
 # (what is in force, entries that changed or all of them, whether it is all of them, now)
@@ -92,6 +94,15 @@
             self._logs[scope], self.tables[scope] = log, log.table
         return log
 
+    def open_asked(self, scope: str) -> Log | None:
+        """The same, on a reader's word. Threat: names that somebody makes up, and no room for those that there are."""
+        if scope not in self._logs:
+            everything = self.tables[ALL].entries
+            known = [key_of(one.replace("names/", "zone/", 1)) in everything for one in self._logs if one != ALL]
+            if key_of(scope.replace("names/", "zone/", 1)) not in everything and known.count(False) >= MOST_UNKNOWN:
+                return None
+        return self.open(scope)
+
     def restore(self, head: c.Head, entries: Entries, now_us: int) -> None:
         """What was on disk, before anything else."""
         log = self.open(head.scope)
@@ -125,7 +136,8 @@
                 return log.committed(sender, message.delta, now_us) if log is not None else []
             case c.Beat():
                 for head in message.heads:
-                    log = self.open(head.scope)
+                    # What only readers of another source speak of needs no log here.
+                    log = self.open(head.scope) if head.version else self._logs.get(head.scope)
                     if log is not None:
                         log.told(sender, head, now_us)
                 return []
@@ -151,7 +163,7 @@
             logs = list(self._logs.values())
             self._turn += 1
             logs[self._turn % len(logs)].look(now_us)
-            self._look_us = now_us + min(FRESH_US, ROUND_US // len(logs))
+            self._look_us = now_us + min(FRESH_US // 2, ROUND_US // len(logs))
         effects: list[Effect] = []
         for log in list(self._logs.values()):
             if now_us >= log.due_us:
--- a/oatlink/fleet/control/source.py
+++ b/oatlink/fleet/control/source.py
@@ -9,14 +9,14 @@
 
 from collections.abc import Mapping
 
-from oatlink.fleet.control.bounds import is_report
+from oatlink.fleet.control.bounds import is_report, is_scope
 from oatlink.fleet.control.checks import Checker, mistake_of_scope
 from oatlink.fleet.control.downstream import Downstream
 from oatlink.fleet.control.drops import Drops
 from oatlink.fleet.control.logs import Logs
 from oatlink.fleet.control.peers import BEAT_US, Peers
 from oatlink.fleet.control.roster import Roster
-from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, is_scope, names_of, scope_of
+from oatlink.fleet.control.scopes import ALL, COUNTS, is_names, names_of, scope_of
 from oatlink.fleet.control.sums import Sums
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.messages.base import NEVER_US, Message
@@ -161,7 +161,7 @@
         """A word of a process that takes the stream."""
         match message:
             case c.Join():
-                if self._logs.open(names_of(message.region, message.zone)) is None:
+                if self._logs.open_asked(names_of(message.region, message.zone)) is None:
                     return [Tell(sender, c.Refused(message.incarnation, "bad", REFUSED_MS))]
                 return self._roster.joined(sender, message, now_us)
             case c.Subscribe():
@@ -208,4 +208,4 @@
         return self._logs.offer(scope, entries, base, done, now_us, anew) + self.tick(now_us)
 
     def _take(self, scopes: tuple[str, ...]) -> bool:
-        return all(self._logs.open(one) is not None for one in scopes)
+        return all(not is_names(one) and self._logs.open_asked(one) is not None for one in scopes)
