--- a/oatlink/fleet/control/members.py
+++ b/oatlink/fleet/control/members.py
@@ -7,6 +7,8 @@
 - **Two under one name.** The name stays with its process while that was heard of within `ALIVE_US`, by a report, its
   own join or any other source's word; the second is refused. After that a higher incarnation takes it, if most sources
   are heard here, for one alone may be cut off from whoever hears the first. A lower incarnation never takes a name.
+  A higher one that listens where the first did takes it at once: no two processes listen at one address, so the first
+  is gone. Else each process that falls and is started again would be without the stream for `ALIVE_US`.
 - **Who is gone.** Not heard of by any source for `GONE_US`: taken out, `GOING` a second and zone at most, by one
   source. While over a part of `CUT_PART` of a zone (and more than `CUT_LEAST`) is silent, the zone is taken for cut
   off, and nobody of it goes until he was silent for `CUT_US`. While most sources are not heard here nobody goes at all.
@@ -211,6 +213,7 @@
         if one is None or self._agreed(name, join) is not None:
             return ""
         free = not self.names.is_alive(name, now_us) and (reach or self._has_left(name, one))
+        free = free or join.address == one.named.address
         return "" if join.incarnation > one.named.incarnation and free else "twice"
 
     def _has_left(self, name: str, one: Known) -> bool:
--- a/tests/fleet/control/test_members.py
+++ b/tests/fleet/control/test_members.py
@@ -37,6 +37,13 @@
     assert not one.names.heard("a", 1, 9 * ALIVE)
 
 
+def test_who_listens_where_the_one_before_did_has_its_name_at_once() -> None:
+    one = joined("a")
+    assert one.wants("a", c.Join(2, "r", "z", "a:1"), False, 0) == "waits"
+    assert agree(one, 0) == ["a"]
+    assert one.wants("a", c.Join(1, "r", "z", "a:1"), True, 0) == "twice", "the one before is not gone after all"
+
+
 def test_the_same_incarnation_elsewhere_is_another_process() -> None:
     one = joined("a")
     assert one.wants("a", c.Join(1, "r", "z", "b:1"), True, 0) == "twice"
