A source keeps its scopes in the keeper's file, and says what it has only once it is on disk

Registers hold the last 32 versions of a scope. With all sources restarted at once what is older was nobody's, and the scope stood still: found by the process test, which now offers 40 changes before all are killed and fails with the restoring taken out. A version lies between a mark and its head, so half a one is not restored; a record with an empty payload goes when the file is made anew.

--- a/oatlink/fleet/control/station.py
+++ b/oatlink/fleet/control/station.py
@@ -128,6 +128,11 @@
             return [f.Replied(ticket, f"refused: no source; offer it at one of {' '.join(self.sources)}")]
         return self._run(self.source.offer(ticket, scope, entries, base, now_us), now_us)
 
+    def restore(self, head: c.Head, entries: Mapping[str, bytes], now_us: int) -> None:
+        """What this source had on disk of a scope, before anything else."""
+        if self.source is not None:
+            self.source.restore(head, entries, now_us)
+
     def leave(self, now_us: int) -> list[f.Effect]:
         """An orderly end."""
         return self._run(self._core.leave(now_us), now_us)
--- a/oatlink/fleet/shell/control.py
+++ b/oatlink/fleet/shell/control.py
@@ -1,7 +1,8 @@
 """The one object that a process holds of the stream of control: sockets, the keeper's file and one timer.
 
 It decides nothing but what it is asked in words: what comes is handed to the station, what that asks for is carried out
-in order. Nothing is saved but what the keeper's file keeps.
+in order. Nothing is saved but at a source, in the keeper's file: its registers, and each version before another source
+is told that it is here. Threat: a slot that is written over while its version is on no disk, and all sources restarted.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from oatlink.fleet.control.station import Station
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.shell.keeping import Keeping
+from oatlink.fleet.shell.scopes_kept import ScopesKept, found_in
 from oatlink.fleet.shell.transport import Transport
 from oatlink.gateway.clock import now_us
 from oatlink.settings.fleet import Fleet
@@ -24,6 +26,7 @@
 MOST_CHILDREN = 512  # the same at a reader: its children, upstream, spare, and some who have just gone
 LEAST_WAIT_S, LONGEST_WAIT_S = 0.001, 60.0  # of the timer
 WORD_S = 35.0  # a source says after 30 s that a change's end is not known
+HAVE = (c.Beat, c.Committed)  # by which another source counts what is here
 SPOKEN = "expected CONTROL STATUS, or CONTROL PUT scope key value [version]"
 
 _words: msgspec.msgpack.Decoder[tuple[bytes, ...]] = msgspec.msgpack.Decoder(tuple[bytes, ...])
@@ -68,6 +71,8 @@
         told = self._heard, note, self._seed, self._failed, unlisted
         self._transport = Transport(fleet, self._incarnation, *told)
         self._keeping = Keeping(fleet, self._said, note)
+        self._kept: ScopesKept | None = None  # a source's
+        self._others = frozenset(one.name for one in fleet.control.sources) - {fleet.node}
         self._station: Station | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._tickets: dict[int, asyncio.Future[str]] = {}
@@ -95,11 +100,22 @@
         except OSError as error:
             self._note("fleet off", f"{self._fleet.own.address}: {error.strerror}; another process may be this node")
             return
+        if self._is_source:
+            self._keeping.open()
+            self._kept = ScopesKept(self._keeping.records)
         keeper = self._keeping.keeper(self._seed) if self._fleet.own.keeper else None
         self._station = Station(self._fleet, self._control, self._incarnation, self._seed, mistake_in, now_us(), keeper)
+        self._restore(self._station)
         self._transport.start()
         self._tick()
 
+    def _restore(self, station: Station) -> None:
+        try:
+            for head, entries in found_in(self._keeping.records):
+                station.restore(head, entries, now_us())
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._note("control", f"what was on disk is not restored: {error}")
+
     async def stop(self) -> None:
         """Say that this process leaves, and close."""
         if self._station is not None:
@@ -198,13 +214,17 @@
     def _do(self, effects: list[f.Effect]) -> None:
         """Carry out, in order."""
         for one in effects:
-            if isinstance(one, f.Tell):
+            if isinstance(one, f.Tell) and self._kept and one.to in self._others and isinstance(one.message, HAVE):
+                self._keeping.keep(f.Keep((), (one,)))
+            elif isinstance(one, f.Tell):
                 self._transport.send(one.to, one.message)
             elif isinstance(one, f.Keep):
                 self._keeping.keep(one)
             elif isinstance(one, c.Known):
                 self._know(one)
             elif isinstance(one, c.InForce):
+                if self._kept is not None:
+                    self._keeping.store(self._kept.rows(one))
                 self._in_force(one)
             elif isinstance(one, f.Note):
                 self._note(one.event, one.text)
--- a/oatlink/fleet/shell/journal.py
+++ b/oatlink/fleet/shell/journal.py
@@ -1,5 +1,7 @@
 """The keeper's file in use: what it must not forget, on disk before anything is answered for it.
 
+A record with an empty payload takes the one before it out; it goes itself when the file is made anew.
+
 What may live here: the steps of a commit, who waits for which, and when the file is made anew. A process or a machine
 that falls after any step leaves a file that `history.replay` reads rightly; what is damage and what is torn, and what
 cannot be told apart, stands there.
@@ -80,7 +82,7 @@
         # What follows is the writing thread's, while it writes.
         self._handle = handle
         self._end, self._chain, self._serial = found.end, found.chain, found.serial
-        self._live = {key: Row(*key, payload) for key, payload in found.rows.items()}
+        self._live = {key: Row(*key, payload) for key, payload in found.rows.items() if payload}
         self._live_size = sum(_size(row) for row in self._live.values())
         self._compact_at = COMPACT_BYTES
 
@@ -176,9 +178,11 @@
         self._disk.sync(self._handle)
         self._end, self._chain, self._serial = end, chain, serial
         for row in rows:
-            old = self._live.get((row.kind, row.key))
-            self._live_size += _size(row) - (_size(old) if old is not None else 0)
-            self._live[row.kind, row.key] = row
+            old = self._live.pop((row.kind, row.key), None)
+            self._live_size -= _size(old) if old is not None else 0
+            if row.payload:
+                self._live_size += _size(row)
+                self._live[row.kind, row.key] = row
 
     def _compact(self) -> None:
         """Make the file anew from what is live. Where that fails before the old one is gone, it goes on as it is."""
--- a/oatlink/fleet/shell/keeping.py
+++ b/oatlink/fleet/shell/keeping.py
@@ -11,7 +11,8 @@
 
 from oatlink.fleet import messages as f
 from oatlink.fleet.registers.acceptor import Acceptor
-from oatlink.fleet.shell.journal import Journal, kept_in, row_of, row_of_standing, standing_in
+from oatlink.fleet.shell.history import Row
+from oatlink.fleet.shell.journal import Journal, Records, kept_in, row_of, row_of_standing, standing_in
 from oatlink.fleet.shell.keys import FleetError
 from oatlink.settings.fleet import Fleet
 
@@ -22,23 +23,38 @@
     def __init__(self, fleet: Fleet, said: Callable[[f.Tell], None], note: Callable[[str, str], None]) -> None:
         self.silent = False  # the file has failed: this keeper answers for nothing any more
         self._fleet, self._said, self._note = fleet, said, note
+        self.records: Records = {}  # as they were found
+        self._new = True
         self._journal: Journal | None = None
         self._keeps: deque[f.Keep] = deque()
         self._keeping: asyncio.Task[None] | None = None
 
-    def keeper(self, seed: int) -> Acceptor | None:
-        """Open the file: the keeper that it is of, None where it cannot be used. Blocks."""
+    def open(self) -> None:
+        """Open the file; where it cannot be used nothing is kept. Blocks."""
         life = int.from_bytes(os.urandom(5), "big") + 1
+        try:
+            self._journal, self.records, _, self._new = Journal.open(self._fleet.state_dir, self._fleet.node, life)
+        except (FleetError, OSError) as error:
+            self._note("keeper off", str(error))
+
+    def keeper(self, seed: int) -> Acceptor | None:
+        """The keeper that the file is of, None where it cannot be used; after `open`."""
         fleet = self._fleet
+        if self._journal is None:
+            return None
         try:
-            self._journal, records, _, new = Journal.open(fleet.state_dir, fleet.node, life)
-            standing = None if new else standing_in(records)
+            standing = None if self._new else standing_in(self.records)
             trusted = fleet.trust_keeper and standing is None
-            return Acceptor(fleet.node, fleet.keepers, kept_in(records), standing, seed, trusted)
-        except (FleetError, OSError) as error:
+            return Acceptor(fleet.node, fleet.keepers, kept_in(self.records), standing, seed, trusted)
+        except FleetError as error:
             self._note("keeper off", str(error))
             return None
 
+    def store(self, rows: list[Row]) -> None:
+        """Put these in line; what is kept after them is said once they are on disk."""
+        if self._journal is not None and not self.silent:
+            self._journal.append(rows)
+
     def keep(self, keep: f.Keep) -> None:
         """Put in line what must be on disk before it is answered."""
         if self._journal is None or self.silent:
--- a/oatlink/fleet/shell/node.py
+++ b/oatlink/fleet/shell/node.py
@@ -70,6 +70,8 @@
             self._note("fleet off", f"{self._fleet.own.address}: {error.strerror}; another process may be this node")
             self._tell(Alone())
             return
+        if self._fleet.own.keeper:
+            self._keeping.open()
         self._node = Node(
             self._fleet,
             self._members,
--- a/tests/fleet/control/test_processes.py
+++ b/tests/fleet/control/test_processes.py
@@ -4,6 +4,7 @@
 import signal
 
 from benchmarks.fleet.stream import Look
+from oatlink.fleet.control.slots import SLOTS
 from tests.fleet.control.process_world import READERS, RELAYS, SOURCES, Place, streamed
 from tests.fleet.life_world import PATIENCE_S
 from tests.scenes import scene
@@ -146,7 +147,13 @@
     await g0.shows(lambda look: look.age_us < 5_000_000)
     await no_version_went_back(place)
 
-    # All are killed at once: what was agreed is there again.
+    # All are killed at once: what was agreed is there again, also what no register holds any more.
+    for number in range(SLOTS + 8):
+        assert (await place.all["s1"].offer("all", {"n": str(number)})).startswith("all is at version ")
+    await place.in_force("n", str(SLOTS + 7))
     await asyncio.gather(*(one.end() for one in place.all.values()))
     await asyncio.gather(*(one.start() for one in place.all.values()))
     await place.in_force("j", "1")
+    await place.in_force("n", str(SLOTS + 7))
+    assert (await place.all["s2"].offer("all", {"j": "2"})).startswith("all is at version ")
+    await place.in_force("j", "2")
--- /dev/null
+++ b/tests/fleet/control/test_shell.py
@@ -0,0 +1,138 @@
+"""The shell of the stream by values: what a source keeps on disk, operators' words, who may ask the keepers."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from oatlink.fleet import messages as m
+from oatlink.fleet.control.station import Station
+from oatlink.fleet.messages import control as c
+from oatlink.fleet.shell.control import SPOKEN, ControlNode, mistake_in
+from oatlink.fleet.shell.history import Row
+from oatlink.fleet.shell.journal import COMPACT_BYTES, Journal, Records
+from oatlink.fleet.shell.scopes_kept import ScopesKept, found_in
+from oatlink.settings.fleet import Control, Fleet, FleetNode
+from tests.fleet.life_world import SECRET
+
+
+def put(records: Records, rows: list[Row]) -> None:
+    for row in rows:
+        records[row.kind, row.key] = row.payload
+
+
+def version(number: int, *entries: tuple[str, bytes], whole: bool = False) -> c.InForce:
+    return c.InForce(c.Head("all", 0, number), tuple(c.Entry(*one) for one in entries), whole)
+
+
+def test_what_a_source_keeps_is_what_was_in_force() -> None:
+    records: Records = {}
+    kept = ScopesKept(records)
+    put(records, kept.rows(version(1, ("a", b"1"), ("b", b"1"))))
+    put(records, kept.rows(version(2, ("a", b""), ("c", b"2"))))
+    assert found_in(records) == [(c.Head("all", 0, 2), {"b": b"1", "c": b"2"})]
+    put(records, ScopesKept(records).rows(version(9, ("d", b"9"), whole=True)))
+    assert found_in(records) == [(c.Head("all", 0, 9), {"d": b"9"})]
+
+
+def test_half_a_version_on_disk_is_none() -> None:
+    before: Records = {}
+    kept = ScopesKept(before)
+    put(before, kept.rows(version(1, ("a", b"1"), ("b", b"1"))))
+    rows = kept.rows(version(2, ("a", b"2"), ("b", b"2")))
+    for whole in range(1, len(rows)):
+        records = dict(before)
+        put(records, rows[:whole])
+        assert found_in(records) == []
+    put(before, rows)
+    assert found_in(before) == [(c.Head("all", 0, 2), {"a": b"2", "b": b"2"})]
+
+
+def test_a_record_taken_out_goes_when_the_file_is_made_anew(tmp_path: Path) -> None:
+    async def write() -> None:
+        journal, *_ = Journal.open(str(tmp_path / "state"), "s", 1)
+        for number in range(40):
+            journal.append([Row("entry/all", f"k{number}", b"x" * 60_000)])
+            await journal.commit()
+            journal.append([Row("entry/all", f"k{number}", b"")])
+            await journal.commit()
+        await journal.close()
+
+    asyncio.run(write())
+    _, records, *_ = Journal.open(str(tmp_path / "state"), "s", 1)
+    assert not any(records.values()) and len(records) < 40
+    assert (tmp_path / "state" / "keeper.journal").stat().st_size < COMPACT_BYTES + 100_000
+
+
+# ---- Words ----
+
+SOURCES = tuple(FleetNode(f"s{at}", f"127.0.0.1:{at + 1}", True) for at in range(3))
+
+
+def fleet(node: str, folder: str) -> Fleet:
+    key = Path(folder, "key")
+    key.touch(mode=0o600)
+    key.write_bytes(SECRET)
+    own = SOURCES[0] if node == "s0" else FleetNode(node, "127.0.0.1:9")
+    return Fleet(node, (own,), (str(key),), folder, control=Control(SOURCES, "r", "z"))
+
+
+def spoken(node: str, *words: str | bytes) -> str:
+    """What an operator is told by a process whose sockets are not open."""
+
+    async def ask(folder: str) -> str:
+        part = fleet(node, folder)
+        assert part.control is not None
+        one = ControlNode(part, 1, lambda event, text: None)
+        one._station = Station(part, part.control, 1, 1, mistake_in, 0)
+        try:
+            said = [word.encode() if isinstance(word, str) else word for word in words]
+            return await one.word("control", msgspec.msgpack.encode(said))
+        finally:
+            await one.stop()
+
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(ask(folder))
+
+
+@pytest.mark.parametrize(
+    ("words", "why"),
+    [
+        (("PUT", "all", "k"), SPOKEN),
+        (("PUT", "all", "k", "1", "2", "3"), SPOKEN),
+        (("TAKE", "all", "k", "1"), SPOKEN),
+        (("PUT", "all", "k", "1", "-1"), "expected a version's number, got '-1'"),
+        (("PUT", "all", "k", "1", "²"), "expected a version's number"),
+        (("PUT", "all", b"\xff", "1"), "expected UTF-8"),
+        (("PUT", "nowhere", "k", "1"), "'nowhere' is no scope for changes"),
+        (("PUT", "names/r/z", "k", "1"), "no scope for changes"),
+        (("PUT", "all", "k" * 129, "1"), "a key has 1 to 128 bytes"),
+        (("PUT", "all", "k", "1" * 4_097), "a value 4096 at most"),
+    ],
+)
+def test_a_bad_word_is_refused_in_one_line(words: tuple[str | bytes, ...], why: str) -> None:
+    answer = spoken("s0", *words)
+    assert answer.startswith("refused: ") and why in answer and "\n" not in answer
+
+
+def test_a_reader_says_where_to_offer_and_any_process_tells_its_state() -> None:
+    assert spoken("g", "PUT", "all", "k", "1") == "refused: no source; offer it at one of s0 s1 s2"
+    assert spoken("g", "STATUS").startswith("node: g\ncontrol: behind, never heard")
+    assert spoken("s0").startswith("node: s0\nsource: s0 1")
+
+
+def test_a_value_is_json() -> None:
+    assert mistake_in("all", {}, (c.Entry("a", b'{"b": 1}'), c.Entry("c"))) == ""
+    assert mistake_in("all", {}, (c.Entry("a", b"1"), c.Entry("b", b"{"))) == "'b': expected JSON"
+
+
+def test_only_sources_are_heard_on_registers() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        part = fleet("s0", folder)
+    assert part.control is not None
+    one = Station(part, part.control, 1, 1, mistake_in, 0)
+    for message in (m.Prepare("k", m.Ballot(1, "g", 1)), m.Copy(1), m.Outbid("k", m.Ballot(), m.Ballot(9, "g", 1))):
+        assert one.receive("g", message, 0) == []
+    assert one.dropped["register"] == 3
