--- a/oatlink/fleet/shell/door.py
+++ b/oatlink/fleet/shell/door.py
@@ -24,6 +24,7 @@
 ACCEPTS_A_TURN = 16
 PROVE_TICKS = 8  # until a Hello must have come: 2 s
 ALIVE_TICKS = 12  # how long a connection speaks for its process after a frame: 3 s
+ALIVE_UNLISTED_TICKS = 32  # the same where names are not listed, and reports come each 5 s: 8 s
 SILENT_TICKS = 180  # its other end would have closed it long ago: 45 s
 
 
@@ -48,6 +49,7 @@
         unlisted: int = 0,
     ) -> None:
         self.ear, self.peers, self.keys, self.say, self.unlisted = ear, peers, keys, say, unlisted
+        self._alive_ticks = ALIVE_UNLISTED_TICKS if unlisted else ALIVE_TICKS
         self._unproved: dict[Caller, None] = {}
         self._proved: dict[str, list[Caller]] = {}
         self._strange = 0  # proved names that are not among the peers
@@ -160,7 +162,7 @@
             self.refuse("dropped_full", "", f"{self._strange} names beside those in the settings are heard already")
             return False
         others = [other for other in peers if other.incarnation != hello.incarnation]
-        if any(self.ear.ticks - other.heard <= ALIVE_TICKS for other in others):
+        if any(self.ear.ticks - other.heard <= self._alive_ticks for other in others):
             self.refuse("dropped_twice", hello.node, "another process has this name, and is alive")
             return False
         for other in others:  # their process is gone, or silent: from now on this one has the name
