Stream of control at gateways: operators' words end to end, off without the part, refused in run

Without the part the word is refused, nothing is imported and no state folder is made; the users' platform refuses a fleet with it in one line.

--- a/tests/fleet/test_gated.py
+++ b/tests/fleet/test_gated.py
@@ -222,7 +222,7 @@
 settings = load_text(sys.argv[1], 'test')
 server.Gateway(settings)
 loaded = [one for one in sys.modules if one.startswith('oatlink.fleet')]
-parts = ('shell', 'limits', 'registers', 'leases', 'verdicts', 'membership', 'gating', 'node')
+parts = ('shell', 'control', 'limits', 'registers', 'leases', 'verdicts', 'membership', 'gating', 'node')
 assert not [one for one in loaded if one.startswith(tuple(f'oatlink.fleet.{part}' for part in parts))], loaded
 print('quiet')
 """
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -411,6 +411,7 @@
         ({"settings": OPTIONS | {"Classes": []}}, "Classes"),
         ({"settings": OPTIONS | {"StepUs": 0}}, "step_us"),
         ({"fleet": {"node": "a"}}, "fleet: expected none, gateways share nothing"),
+        ({"fleet": {"node": "a", "control": {"relays": 1}}}, "fleet: expected none, gateways share nothing"),
         ({"settings": OPTIONS | {"Fleet": {}}}, "settings.Fleet: expected none, gateways share nothing"),
     ],
 )
