--- a/oatlink/fleet/shell/control.py
+++ b/oatlink/fleet/shell/control.py
@@ -13,12 +13,12 @@
 import msgspec
 
 from oatlink.fleet import messages as f
-from oatlink.fleet.control.checks import Entries
 from oatlink.fleet.control.station import Station
 from oatlink.fleet.messages import control as c
 from oatlink.fleet.shell.keeping import Keeping
 from oatlink.fleet.shell.scopes_kept import ScopesKept, found_in
 from oatlink.fleet.shell.transport import Transport
+from oatlink.fleet.shell.words import mistake_in, read
 from oatlink.gateway.clock import now_us
 from oatlink.settings.fleet import Fleet
 
@@ -27,9 +27,6 @@
 LEAST_WAIT_S, LONGEST_WAIT_S = 0.001, 60.0  # of the timer
 WORD_S = 35.0  # a source says after 30 s that a change's end is not known
 HAVE = (c.Beat, c.Committed)  # by which another source counts what is here
-SPOKEN = "expected CONTROL STATUS, or CONTROL PUT scope key value [version]"
-
-_words: msgspec.msgpack.Decoder[tuple[bytes, ...]] = msgspec.msgpack.Decoder(tuple[bytes, ...])
 
 
 def new_incarnation() -> int:
@@ -41,16 +38,6 @@
     return time.time_ns() // 1_000_000 << 16 | int.from_bytes(os.urandom(2), "big")
 
 
-def mistake_in(scope: str, now: Entries, entries: tuple[c.Entry, ...]) -> str:
-    """The check on what an operator offers: each value is JSON, so that one that is cut off does not go out."""
-    for one in entries:
-        try:
-            msgspec.json.decode(one.value or b"0")
-        except (msgspec.DecodeError, ValueError):
-            return f"{one.key[:64]!r}: expected JSON"
-    return ""
-
-
 class ControlNode:
     """Takes part with `start`, leaves with `stop`. It stands in a gateway where `FleetNode` does without `control`."""
 
@@ -149,20 +136,12 @@
             return "no versions in the fleet's settings"
         if self._station is None:
             return "the fleet is off here"
-        try:
-            return await self._spoken(*[one.decode() for one in _words.decode(text)])
-        except UnicodeDecodeError:
-            return "refused: expected UTF-8"
-
-    async def _spoken(self, word: str = "STATUS", *words: str) -> str:
-        if word.upper() == "STATUS" and not words:
+        asked = read(text)
+        if isinstance(asked, str):
+            return asked
+        if asked is None:
             return "\n".join(f"{name}: {text}" for name, text in self.rows())
-        if word.upper() != "PUT" or not 3 <= len(words) <= 4:
-            return f"refused: {SPOKEN}"
-        scope, key, value, *base = words
-        if base and not (base[0].isascii() and base[0].isdigit() and len(base[0]) <= 15):
-            return f"refused: expected a version's number, got {base[0][:64]!r}"
-        return await self.offer(scope, (c.Entry(key, value.encode()),), int(base[0]) if base else -1)
+        return await self.offer(asked.scope, asked.entries, asked.base)
 
     async def offer(self, scope: str, entries: tuple[c.Entry, ...], base: int = -1) -> str:
         """Offer a change, made for version `base` (-1: any): what came of it, in one line."""
--- a/oatlink/fleet/shell/transport.py
+++ b/oatlink/fleet/shell/transport.py
@@ -3,9 +3,6 @@
 What may live here: what all links of a node share, from its port to its counters. It decides nothing: a message that
 is lost, late or doubled is the cores' matter.
 
-Nodes that no settings list are reached where their greeting says that they listen, or by `know`. Threat: a peer whose
-words make this node dial thousands of places: so many are known at once, the one spoken to longest ago goes first.
-
 A link is simplex, so that a one-way cut is just that. All queues are bounded, and all times of links are counted in
 ticks of a quarter second: a process that stood still takes no link for dead because of it.
 """
@@ -21,8 +18,9 @@
 
 from oatlink.fleet import envelope
 from oatlink.fleet.messages import AnyMessage, Message
+from oatlink.fleet.shell.addresses import Addresses
 from oatlink.fleet.shell.dialled import Mouth
-from oatlink.fleet.shell.door import Door, is_dialled
+from oatlink.fleet.shell.door import Door
 from oatlink.fleet.shell.ear import Ear
 from oatlink.fleet.shell.keys import read_keys
 from oatlink.fleet.shell.outbound import Outgoing
@@ -59,18 +57,15 @@
         self._node, self._most = fleet.node, fleet.most_bytes
         self._address = fleet.own.address
         self._on_message, self._note = on_message, note
-        self._routes = fleet.routes
-        self._addresses = {one.name: self._routes.get(one.name, one.address) for one in fleet.listed}
-        del self._addresses[fleet.node]
+        self._addresses = Addresses(fleet, unlisted, self._greeted, self._retire, self.counters)
         self._on_fail, self._unlisted = on_fail, unlisted
-        self._known: dict[str, str] = {}  # the addresses of others, who was spoken to last at the end
         self._retired: list[Outgoing] = []  # ways that still have something to say, and get nothing new
         keys, same = read_keys(fleet.key_files), fleet_hash(fleet)
         draws = random.Random(f"{seed} {fleet.node}")
         own = self._address if unlisted else ""
         self._mouth = Mouth(fleet.node, incarnation, same, keys[0], self._say, self.counters, draws, self._failed, own)
         ear = Ear(fleet.node, same, self._most, self._heard, self.counters)
-        self._door = Door(ear, frozenset(self._addresses), keys, self._say, unlisted)
+        self._door = Door(ear, frozenset(self._addresses.listed), keys, self._say, unlisted)
         self._ways: dict[str, Outgoing] = {}
         self._sockets: list[socket.socket] = []
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -108,35 +103,23 @@
     # ---- Who is known ----
 
     def know(self, name: str, address: str) -> None:
-        """Where a node listens that the settings do not list; one that they list stays where they say."""
-        if self._closed or name in self._addresses or name == self._node:
-            return
-        if not is_dialled(address):
-            self.counters["dropped_known"] += 1
-            return
-        address = self._routes.get(name, address)
-        if self._known.get(name) != address:
-            self.forget(name)
-        self._known[name] = address
-        if len(self._known) > self._unlisted:
-            self.counters["dropped_known"] += 1
-            self.forget(next(iter(self._known)))
+        """Where a node listens that the settings do not list, before something is said to it."""
+        if not self._closed:
+            self._addresses.know(name, address)
 
     def forget(self, name: str) -> None:
         """Nothing more will be said to a node that the settings do not list; what was said before still goes out."""
-        if self._known.pop(name, None) is not None and (way := self._ways.pop(name, None)) is not None:
+        self._addresses.forget(name)
+
+    def _greeted(self, name: str) -> str:
+        return self._door.address_of(name)
+
+    def _retire(self, name: str) -> None:
+        if (way := self._ways.pop(name, None)) is not None:
             self._retired.append(way)
             while len(self._retired) > self._unlisted:
                 self._retired.pop(0).close()
 
-    def _address_of(self, name: str) -> str:
-        """Where a node listens that the settings do not list. Its own greeting is newer than what others say of it."""
-        if greeted := self._door.address_of(name):
-            self.know(name, greeted)
-        if name in self._known:
-            self._known[name] = self._known.pop(name)  # spoken to last
-        return self._known.get(name, "")
-
     def _failed(self, peer: str) -> None:
         if self._on_fail is not None and self._loop is not None and not self._closed:
             self._loop.call_soon(self._tell_failed, self._on_fail, peer)
@@ -155,7 +138,7 @@
         if to == self._node:
             self._loop.call_soon(self._own, message)
             return
-        address = self._addresses.get(to) or self._address_of(to)
+        address = self._addresses.of(to)
         if not address:
             self.counters["dropped_name"] += 1
             return
--- a/oatlink/gateway/fleet.py
+++ b/oatlink/gateway/fleet.py
@@ -8,6 +8,7 @@
 
 from oatlink.core import messages as m
 from oatlink.core.classify import DEFAULT_READ, DEFAULT_WRITE
+from oatlink.fleet.control.scopes import is_names
 from oatlink.fleet.gate import AnyNews
 from oatlink.fleet.messages.control import InForce
 from oatlink.fleet.shell.control import ControlNode
@@ -57,7 +58,8 @@
     def _in_force(self, news: InForce) -> None:
         """Nothing of a gateway is set by the stream yet: that it came is a line."""
         head = news.head
-        self._gateway.notes.note("control", f"{head.scope} is at version {head.epoch}.{head.version}")
+        if not is_names(head.scope):  # those are a source's own
+            self._gateway.notes.note("control", f"{head.scope} is at version {head.epoch}.{head.version}")
 
     def carry(self, effect: m.Seek | m.Errand | m.Observed | m.Listing) -> None:
         """Do what the engine asks of the fleet."""
--- a/tests/fleet/control/test_shell.py
+++ b/tests/fleet/control/test_shell.py
@@ -10,10 +10,11 @@
 from oatlink.fleet import messages as m
 from oatlink.fleet.control.station import Station
 from oatlink.fleet.messages import control as c
-from oatlink.fleet.shell.control import SPOKEN, ControlNode, mistake_in
+from oatlink.fleet.shell.control import ControlNode
 from oatlink.fleet.shell.history import Row
 from oatlink.fleet.shell.journal import COMPACT_BYTES, Journal, Records
 from oatlink.fleet.shell.scopes_kept import ScopesKept, found_in
+from oatlink.fleet.shell.words import SPOKEN, mistake_in
 from oatlink.settings.fleet import Control, Fleet, FleetNode
 from tests.fleet.life_world import SECRET
 
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -482,7 +482,7 @@
     for number in range(50):
         b.say("a", number)
         b.transport.know(f"x{number}", "127.0.0.1:1")
-    assert [*b.transport._known] == ["a", "x49"] and b.counters["dropped_known"] == 49
+    assert [*b.transport._addresses.known] == ["a", "x49"] and b.counters["dropped_known"] == 49
     b.transport.forget("a")  # what was said before goes out all the same
     b.say("a", 50)
     await until(lambda: len(a.heard) == 50)
