--- a/oatlink/fleet/shell/transport.py
+++ b/oatlink/fleet/shell/transport.py
@@ -20,7 +20,7 @@
 from oatlink.fleet.messages import AnyMessage, Message
 from oatlink.fleet.shell.addresses import Addresses
 from oatlink.fleet.shell.dialled import Mouth
-from oatlink.fleet.shell.door import Door
+from oatlink.fleet.shell.door import Door, is_dialled
 from oatlink.fleet.shell.ear import Ear
 from oatlink.fleet.shell.keys import read_keys
 from oatlink.fleet.shell.outbound import Outgoing
@@ -62,7 +62,7 @@
         self._retired: list[Outgoing] = []  # ways that still have something to say, and get nothing new
         keys, same = read_keys(fleet.key_files), fleet_hash(fleet)
         draws = random.Random(f"{seed} {fleet.node}")
-        own = self._address if unlisted else ""
+        own = self._address if unlisted and is_dialled(self._address) else ""
         self._mouth = Mouth(fleet.node, incarnation, same, keys[0], self._say, self.counters, draws, self._failed, own)
         ear = Ear(fleet.node, same, self._most, self._heard, self.counters)
         self._door = Door(ear, frozenset(self._addresses.listed), keys, self._say, unlisted)
--- a/oatlink/settings/fleet.py
+++ b/oatlink/settings/fleet.py
@@ -27,6 +27,7 @@
 from oatlink.settings.parts import Match, Name, Part, Positive, address_fits
 
 MOST_NODES = 4_096
+MOST_SCOPE = 64  # bytes of a scope's name (`fleet.messages.control`, which settings do not import)
 SCHEME = "blake2b-128 1"  # how frames and names are proved (`oatlink.fleet.envelope`)
 LEAST_BURST = 1.0  # requests: a bucket that holds less never lets one through
 
@@ -190,6 +191,11 @@
     keepers = sum(one.keeper for one in control.sources)
     if keepers % 2 == 0:
         yield f"fleet.control.sources: expected an odd number of keepers, got {keepers}"
+    # Threat: a place whose scopes no source takes for one, found out when the process gets no seat.
+    scopes = [f"names/{control.region}/{control.zone}", *(f"group/{one}" for one in control.groups)]
+    longest = max(scopes, key=len)
+    if len(longest) > MOST_SCOPE:
+        yield f"fleet.control: expected scopes of at most {MOST_SCOPE} characters, got {longest!r}"
     if len(set(control.groups)) < len(control.groups):
         yield "fleet.control.groups: expected each name once"
     # Threat: floors that are each cut out for another number of nodes add up to more than was allowed.
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from oatlink.fleet.messages import control
 from oatlink.settings import SettingsError, load_text
-from oatlink.settings.fleet import Fleet, fleet_hash
+from oatlink.settings.fleet import MOST_SCOPE, Fleet, fleet_hash
 
 BASE = """{
   banks: [{ name: 'b', slots: [[0, 16383]], members: [{ name: 'm', address: '127.0.0.1:1' }] }],
@@ -99,6 +100,10 @@
     assert (fleet_hash(part(more)) == fleet_hash(part())) == is_same
 
 
+def test_a_scopes_longest_name_is_the_same_in_settings_and_words() -> None:
+    assert MOST_SCOPE == control.MOST_SCOPE
+
+
 def test_files_of_today_greet_as_before() -> None:
     found = read()
     assert isinstance(found, Fleet) and found.control is None
@@ -116,6 +121,8 @@
         ("{ nodes+: [{ name: 's1', address: 'h:1' }] }", "sources[1]: expected the same line as in fleet.nodes"),
         ("{ nodes+: [{ name: 'x', address: 'h:1', keeper: true }] }", "fleet.nodes[1].keeper: expected false"),
         ("{ control+: { groups: ['g', 'g'] } }", "fleet.control.groups: expected each name once"),
+        ("{ control+: { region: std.repeat('r', 30), zone: std.repeat('z', 28) } }", "scopes of at most 64 characters"),
+        ("{ control+: { groups: [std.repeat('g', 60)] } }", "scopes of at most 64 characters"),
         ("{ control+: { relays: 300 } }", "fleet.control.relays"),
         ("{ control+: { zone: 'a/b' } }", "fleet.control.zone"),
         ("{ tenants: [" + T + "] }", "fleet.tenants: expected none with fleet.control"),
