--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -294,7 +294,7 @@
 
 @pytest.mark.parametrize("outcome", [Outcome.SERVED, Outcome.RESET, Outcome.FULL])
 def test_the_write_of_a_client_that_has_left_binds_its_sessions_reads(outcome: Outcome) -> None:
-    """Found on a short day: the answer of a write whose client had gone bound nobody, and its session read behind it."""
+    """Found on a short day: the answer of a write whose client had gone bound nobody: its session read behind it."""
     driver = Driver(router_remembers_sessions=True).ready()
     driver.skip(50_000)
     send = one(driver.arrive("submit", session="s"))
