Twins at size ask the door as it is made now

Cause: the stream's shell moved what accepted links share out of Door into Ear; the hollow scenario of two under one name built a Door the old way. Change: it makes an Ear too.

--- a/oatlink/lab/scale/scenarios/twins.py
+++ b/oatlink/lab/scale/scenarios/twins.py
@@ -11,6 +11,7 @@
 from oatlink.fleet import messages as f
 from oatlink.fleet.membership.view import View
 from oatlink.fleet.shell import door as doors
+from oatlink.fleet.shell.ear import Ear
 from oatlink.fleet.shell.inbound import Incoming
 from oatlink.lab.fleetsim.time import Timeline
 from oatlink.lab.scale.judge import Finding
@@ -34,24 +35,23 @@
             """Nobody reads it."""
 
         self.heard: list[bytes] = []
-        self.door = doors.Door(
-            name, peers, HASH, (KEY,), 1 << 16, lambda _, body: self.heard.append(body), say, Counter()
-        )
+        self.ear = Ear(name, HASH, 1 << 16, lambda _, body: self.heard.append(body), Counter())
+        self.door = doors.Door(self.ear, peers, (KEY,), say)
         self.lives: set[int] = set()
         self.links: dict[int, tuple[Incoming, int]] = {}
 
     def takes(self, name: str, incarnation: int, now_us: int) -> bool:
         """A frame of one of the twins: whether it is heard."""
-        self.door.ticks = now_us // TICK_US
+        self.ear.ticks = now_us // TICK_US
         link = self.links.get(incarnation)
         if link is None or now_us - link[1] >= IDLE_US:
-            one = Incoming(self.door)
-            hello = envelope.Hello(f.VERSION, name, incarnation, HASH, self.door.node)
+            one = Incoming(self.door, self.ear)
+            hello = envelope.Hello(f.VERSION, name, incarnation, HASH, self.ear.node)
             frame = envelope.Seal(KEY, one.nonce, name, incarnation).seal(0, envelope.encode(hello))
             if self.door.prove(one, frame[envelope.HEAD :]) is None:
                 return False
             link = one, now_us
-        link[0].heard = self.door.ticks
+        link[0].heard = self.ear.ticks
         self.links[incarnation] = link[0], now_us
         self.lives.add(incarnation)
         return True
