Stream of control at size: the real cores as a carrier, scenes and their judge

Cause: the tables of scale know only that nothing carries a change. Change: six sources with their registers, relays and readers by values on the simulated clock, over the plan's cuts, bytes by the codec; scenes of a start, idle, one change amid faults, returns, many changes; a judge of versions, ages and laggards. A reader tells its upstream and children, a source its sums.

--- a/benchmarks/scale/hollow/kept.py
+++ b/benchmarks/scale/hollow/kept.py
@@ -21,6 +21,7 @@
     wall_s: float
     load: str
     cores: int
+    parts: dict[str, float] = {}
 
 
 def path_of(folder: Path, scenario: str, size: Size, carrier: str, traffic: str) -> Path:
@@ -36,6 +37,8 @@
 def keep(folder: Path, scenario: str, order: Order, carrier: str) -> tuple[Path, Cost]:
     """Play, and keep what came of it; a file is there whole or not at all."""
     folder.mkdir(parents=True, exist_ok=True)
+    parts: dict[str, float] = {}
+    order = order._replace(meter=time.process_time_ns, cost=parts)
     began, wall = time.process_time(), time.perf_counter()
     found = PLAYS[scenario](order)
     one, five, _ = os.getloadavg()
@@ -44,6 +47,7 @@
         round(time.perf_counter() - wall, 1),
         f"{one:.1f} {five:.1f}",
         os.cpu_count() or 0,
+        parts,
     )
     path = path_of(folder, scenario, order.size, carrier, order.traffic.name)
     for where, data in ((path, text_of(found)), (path.with_suffix(".cpu"), msgspec.json.encode(cost) + b"\n")):
--- a/benchmarks/scale/hollow/play.py
+++ b/benchmarks/scale/hollow/play.py
@@ -10,8 +10,9 @@
 from oatlink.lab.scale.scenarios import PLAYS
 from oatlink.lab.scale.size import SIZES
 from oatlink.lab.scale.stage import Order
+from oatlink.lab.scale.stream.carrier import Stream
 
-CARRIERS: dict[str, Maker] = {"today": NoCarrier}
+CARRIERS: dict[str, Maker] = {"today": NoCarrier, "stream": Stream}
 TRAFFICS = {one.name: one for one in (BOUNDED, ANY, MIXED)}
 
 
--- a/oatlink/fleet/control/reader.py
+++ b/oatlink/fleet/control/reader.py
@@ -81,6 +81,16 @@
         """How old what we know is at most; `NEVER_US` where no word of a source ever came."""
         return self._age.at(now_us)
 
+    @property
+    def upstream(self) -> str:
+        """The name of whom it hears, empty without one."""
+        return self._upstream.peer
+
+    @property
+    def children(self) -> int:
+        """How many hear this one."""
+        return len(self._downstream)
+
     def below(self, scope: str) -> c.Lag:
         """The process itself and all below it, in one of its scopes."""
         return self._sums.lag(scope)
--- a/oatlink/fleet/control/source.py
+++ b/oatlink/fleet/control/source.py
@@ -50,9 +50,9 @@
         self._peers = Peers(name, sources, seed, now_us)
         self._logs = Logs(name, incarnation, self._peers, drift, seed, checker, self._moved)
         tables = self._logs.tables
-        sums = Sums(name, tables, (), seed, now_us)
+        self._sums = Sums(name, tables, (), seed, now_us)
         given = self._logs.age_us, self._take, self._logs.covers
-        self._downstream = Downstream(tables, sums, self._drops, MOST_CHILDREN, *given, seed, now_us)
+        self._downstream = Downstream(tables, self._sums, self._drops, MOST_CHILDREN, *given, seed, now_us)
         self._roster = Roster(place, region, incarnation, self._peers, tables, self._logs.offer, seed, now_us)
         self._logs.open(ALL)
 
@@ -77,6 +77,10 @@
         """How old this source's word is at most: 0 while a majority has answered lately, `NEVER_US` before that."""
         return self._logs.age_us(now_us)
 
+    def below(self, scope: str) -> c.Lag:
+        """All readers below this source, in one of its scopes: laggards by name and number."""
+        return self._sums.lag(scope) if scope in self._logs.tables else c.Lag(c.Head(scope), 0, 0)
+
     def rows(self, now_us: int) -> list[tuple[str, str]]:
         """What this source believes, for operators: name and text."""
         return [
--- a/oatlink/lab/scale/scenarios/__init__.py
+++ b/oatlink/lab/scale/scenarios/__init__.py
@@ -17,6 +17,7 @@
     zone,
 )
 from oatlink.lab.scale.stage import Order
+from oatlink.lab.scale.stream.scenes import SCENES
 
 Play = Callable[[Order], Finding]
 
@@ -33,4 +34,5 @@
     "limits": limits.play,
     "changes-day": changes.day,
     "changes-minute": changes.minute,
+    **SCENES,
 }
--- a/oatlink/lab/scale/stage.py
+++ b/oatlink/lab/scale/stage.py
@@ -7,7 +7,7 @@
 tells apart (in the lost zone, elsewhere) are sampled apart.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from oatlink.lab.fleetsim.time import Timeline
@@ -22,7 +22,10 @@
 
 
 class Order(NamedTuple):
-    """What is to be played. `routers`: how many whole ones; `brief`: a shorter play, for tests."""
+    """What is to be played. `routers`: how many whole ones; `brief`: a shorter play, for tests.
+
+    `meter` tells nanoseconds of this machine's processor, `cost` takes what was told from them: no part of a finding.
+    """
 
     size: Size
     seed: int
@@ -30,6 +33,8 @@
     routers: int = 6
     traffic: Traffic = BOUNDED
     brief: bool = False
+    meter: Callable[[], int] | None = None
+    cost: dict[str, float] | None = None
 
 
 def spread(numbers: Iterable[int], count: int) -> list[int]:
