Stream of control: after a cut a source speaks of no scope before it has read its next slot

Change: after more than FRESH_US without answers all scopes are doubted and read at once; beats tell of each when it was.

--- a/oatlink/fleet/control/log.py
+++ b/oatlink/fleet/control/log.py
@@ -127,6 +127,11 @@
         if not self._at.behind:
             self._at.look, self.due_us = True, min(self.due_us, now_us)
 
+    def doubt(self, now_us: int) -> None:
+        """Nothing was heard of the registers for a while: it is not known whether the next slot is open still."""
+        self._at.caught_up = False
+        self.look(now_us)
+
     # ---- Own changes ----
 
     def offer(
--- a/oatlink/fleet/control/logs.py
+++ b/oatlink/fleet/control/logs.py
@@ -5,7 +5,8 @@
 
 Freshness. Each register's answer is a majority's word. In turn each scope's next slot is read, two a second at least
 and each scope once in `ROUND_US`, so a version that nobody told of is noticed by then. With an answer that was asked
-for within `FRESH_US` the age is 0, else the time since that.
+for within `FRESH_US` the age is 0, else the time since that. After a time without answers no scope is spoken of until
+its next slot was read again: all of them are, at once.
 """
 
 from collections.abc import Callable
@@ -124,6 +125,10 @@
             return []
         if answer.how != "unknown":
             newest = self._majority_us if self._majority_us != NEVER_US else answer.asked_us
+            if answer.asked_us - newest > FRESH_US:
+                # Threat: one scope's answer after a cut, by which all that was missed in the others counts as fresh.
+                for one in self._logs.values():
+                    one.doubt(now_us)
             self._majority_us = max(newest, answer.asked_us)
         return log.answered(answer, now_us)
 
--- a/tests/fleet/control/test_source.py
+++ b/tests/fleet/control/test_source.py
@@ -53,6 +53,25 @@
     assert world.cores["s1"].entries("group/g1") == {"k": b"x"}
 
 
+def test_after_a_cut_no_scope_is_spoken_of_before_its_next_slot_was_read() -> None:
+    for seed in range(8):
+        world = World(seed, 3).run(SECOND)
+        world.offer("s0", 1, "all", *((f"group/g{number}", b"1") for number in range(30)))
+        world.run(3 * SECOND)
+        world.cut.add("s2")
+        world.offer("s0", 2, "all", ("k", b"missed"))
+        world.run(60 * SECOND)
+        world.take("r", "s2", c.Subscribe(1, (c.Head("all", 0, 1),), (), 1))
+        world.said.clear()
+        world.cut.clear()
+        for _ in range(60):
+            world.run(100 * MS)
+            world.take("r", "s2", c.Subscribe(1, (c.Head("all", 0, 1),), (), 1))
+        beats = [one for one in world.words("r") if isinstance(one, c.Beat) and one.age_ms < 60_000]
+        heads = [head for one in beats for head in one.heads]
+        assert heads and all(head.version == 2 for head in heads), f"fresh, and 60 s behind: {heads[:3]}, seed {seed}"
+
+
 def test_a_child_gets_versions_and_beats_and_a_new_epoch_as_a_whole() -> None:
     world = World(4, 2).run(SECOND)
     world.take("g", "s0", c.Subscribe(1, (c.Head("all"), c.Head("zone/r0/z"))))
--- a/tests/fleet/control/test_source_guards.py
+++ b/tests/fleet/control/test_source_guards.py
@@ -143,6 +143,11 @@
     return honest(one, scope, entries, -1, done, now, anew)  # type: ignore[no-any-return]
 
 
+@instead_of(Log, "doubt", of_source.test_after_a_cut_no_scope_is_spoken_of_before_its_next_slot_was_read)
+def the_first_answer_after_a_cut_speaks_for_all_scopes(honest: Honest, one: Log, now: int) -> None:
+    pass
+
+
 @instead_of(
     Members, "tired", of_source.test_a_seat_is_given_without_a_majority_and_who_may_become_a_relay_hears_a_source
 )
