Stream of control: a relay asks again for what its upstream does not tell of

Change: a scope that is taken and not told of counts as lacking, so the relay subscribes anew after 2, 4, 8 beats.

--- a/oatlink/fleet/control/hearing.py
+++ b/oatlink/fleet/control/hearing.py
@@ -36,7 +36,7 @@
         self._upstream, self._drops, self._moved = upstream, drops, moved
         self.covered: dict[str, None] = {}  # the scopes that our age speaks of: a borrowed one may be of later
         self._misfits: dict[str, int] = {}
-        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have
+        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have, or of less than we take
         self._stuck = 0  # beats since anything of it came
 
     def covers(self, scope: str) -> bool:
@@ -102,8 +102,11 @@
             return self._drops.add("beat that answers nothing of ours", sender, now_us)
         self._upstream.hears(now_us, age_us > OLD_US)
         told = {head.scope: head for head in word.heads}
-        lacks = [one for one in self._tables.values() if told.get(one.head.scope, one.head) > one.head]
-        whole = {scope: None for scope, one in self._tables.items() if scope in told and one not in lacks}
+        # What it does not tell of may have been asked for by a word that was lost. Threat: a relay's child without it.
+        lacks = [
+            one for one in self._tables.values() if one.head.scope not in told or told[one.head.scope] > one.head
+        ]
+        whole = {scope: None for scope, one in self._tables.items() if one not in lacks}
         if all(scope in whole for scope in self._own):
             self._age.told(age_us, now_us)
             self.covered = whole
