--- a/benchmarks/scale/hollow/report.py
+++ b/benchmarks/scale/hollow/report.py
@@ -4,10 +4,10 @@
 
 import click
 
-from benchmarks.scale.hollow import kept, plots, tables
+from benchmarks.scale.hollow import control, kept, plots, tables
 from oatlink.lab.scale.judge import Finding
 
-PAGE = "tables.md"
+PAGE, CONTROL = "tables.md", "control.md"
 HEAD = """# Scale: what was played
 
 Made by `python -m benchmarks.scale.hollow report` from `results/`; counts and simulated times, the same for a seed.
@@ -37,6 +37,8 @@
     plotted = _plots(to / "plots", found)
     parts.append("## Plots\n\n" + "\n".join(f"![{one.stem}](plots/{one.name})" for one in plotted) + "\n")
     (to / PAGE).write_text("\n".join(parts))
+    if any(one.carrier == "stream" for one in found):
+        (to / CONTROL).write_text(control.page(found, _costs(folder)))
     click.echo(f"{to / PAGE}, {len(plotted)} plots, of {len(found)} plays", err=True)
 
 
@@ -58,9 +60,24 @@
         made.append(plots.by_size(folder, start, name, "bytes of checks by size", 3_000))
     if idle:
         made.append(plots.by_size(folder, idle, "fleet bytes/s a gateway", "bytes of an idle node by size", 3_000))
+    stream = [one for one in found if (one.scenario, one.carrier) == ("control events", "stream")]
+    if stream:
+        for role in ("gateway", "relay", "source"):
+            title = f"bytes of an idle {role} of the stream by size"
+            made.append(plots.by_size(folder, stream, f"idle: bytes/s a {role}", title, 3_000))
     return made
 
 
+def _costs(folder: Path) -> dict[int, dict[str, float]]:
+    """What the cores of the stream took while idle, by size."""
+    found = {}
+    for path in sorted(folder.glob("control-events-*-stream-*.json")):
+        cost = kept.cost_of(folder, path.name)
+        if cost is not None:
+            found[int(path.stem.rpartition("-")[2].partition("x")[0])] = cost.parts
+    return found
+
+
 def _cpu(folder: Path) -> str:
     rows = []
     for path in sorted(folder.glob("*.json")):
--- a/oatlink/fleet/control/logs.py
+++ b/oatlink/fleet/control/logs.py
@@ -26,7 +26,7 @@
 from oatlink.fleet.messages.effects import Answer, Effect, Tell
 
 FRESH_US = 1_000_000
-ROUND_US = 5_000_000
+ROUND_US = 2_000_000
 MOST_LOGS = 100  # scopes; what keepers have room for (`slots`)
 MOST_UNKNOWN = 60  # of them on readers' words alone: 19 zones with their names, 5 regions, some groups nobody made yet
 ACKED = SLOTS // 4  # so many versions are told of at once, so that a burst does not wait for a beat to use slots again
--- a/oatlink/lab/scale/stream/processes.py
+++ b/oatlink/lab/scale/stream/processes.py
@@ -73,6 +73,8 @@
 
     def plan(self) -> None:
         """See to it that it is ticked in time."""
+        if self._planned <= self.links.time.now + LEAST_TICK_US:
+            return  # no plan is any sooner
         due_us = self.due_us
         if not self.up or due_us >= f.NEVER_US:
             return
