--- a/oatlink/fleet/control/hearing.py
+++ b/oatlink/fleet/control/hearing.py
@@ -36,7 +36,7 @@
         self._upstream, self._drops, self._moved = upstream, drops, moved
         self.covered: dict[str, None] = {}  # the scopes that our age speaks of: a borrowed one may be of later
         self._misfits: dict[str, int] = {}
-        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have
+        self._lacks: tuple[object, ...] = ()  # at the last beat that told of more than we have, or of less than we take
         self._stuck = 0  # beats since anything of it came
 
     def covers(self, scope: str) -> bool:
