--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections import Counter, deque
+from collections import deque
 from dataclasses import replace
 
 from oatlink import interface as api
@@ -19,10 +19,12 @@
 from oatlink.platform import discovery as disco
 from oatlink.platform import requests as req
 from oatlink.platform import signals
+from oatlink.platform.answers_seen import AnswersSeen
 from oatlink.platform.clients import Clients, Query, Room
-from oatlink.platform.config import Config, ConfigError, read
+from oatlink.platform.config import Config
 from oatlink.platform.discovery import Discovery, News
 from oatlink.platform.jobs import Checking, Sent
+from oatlink.platform.reload import Reload
 from oatlink.platform.reply import Answer, load_report
 from oatlink.platform.servers import Bounds, Servers
 from oatlink.platform.statement import VALUE_BYTES, Statement, StatementError, parse
@@ -35,7 +37,6 @@
 SERVERS_PART = 0.45  # of the other descriptors; the rest are clients'
 ANSWERS_PART = 0.125  # of the memory: for answers that wait for those ahead on their connections
 GRACE_S = 0.7  # after SIGTERM connections and requests are still taken
-RELOAD_S = (0.1, 0.3, 1.0, 3.0)  # a file that cannot be read is looked at again
 
 
 class Gateway:
@@ -69,16 +70,15 @@
         self._clients = Clients(sock, self._most_clients, self, self._marks, self._keep, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._told, self.note)
         self._ended = asyncio.Event()
-        self._reloading: asyncio.Task[None] | None = None
-        self._answers: Counter[str] = Counter()  # since the last line of state
-        self._answers_us = 0
+        self._reload = Reload(self._apply, self._keep)
+        self._answers = AnswersSeen()  # since the last line of state
 
     # ---- Life ----
 
     async def run(self) -> None:
         """Serve until an orderly end."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.start)
         for one in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(one, self._stop)
         signals.take()
@@ -136,8 +136,6 @@
 
         Threat: a line that names thousands, made while everybody waits. Members with nothing open are only counted.
         """
-        ended, self._answers = self._answers, Counter()
-        took_ms, self._answers_us = self._answers_us / max(1, ended["served"]) / 1000, 0
         members = []
         for pool in self._servers.used:
             number = pool.number
@@ -147,9 +145,8 @@
                 doubt = "?" if belief.in_doubt else ""
                 members.append(f"{self._numbers.name(number)}:{role}{doubt} {belief.out}/{belief.room:.1f}")
         LOG.info(
-            "state: attempts %s, served ones %.0f ms; requests %d, clients %d (%d idle), to servers %d; %s, %d more",
-            ", ".join(f"{ended[name]} {name}" for name in sorted(ended)) or "none",
-            took_ms,
+            "state: %s; requests %d, clients %d (%d idle), to servers %d; %s, %d more",
+            self._answers.take(),
             len(self._requests),
             self._clients.open,
             self._clients.idle,
@@ -178,27 +175,6 @@
             await asyncio.sleep(0.02)
         self._ended.set()
 
-    def _reload(self) -> None:
-        """SIGHUP: read the file again."""
-        if self._reloading is not None:
-            self._reloading.cancel()
-        self._reloading = asyncio.ensure_future(self._read_again())
-        self._keep(self._reloading)
-
-    async def _read_again(self) -> None:
-        """Threat: a file half written. The old settings stand, and it is looked at again shortly."""
-        for wait_s in (*RELOAD_S, None):
-            try:
-                config = read()
-            except ConfigError as problem:
-                LOG.warning("reload: %s", problem)
-                if wait_s is None:
-                    return
-                await asyncio.sleep(wait_s)
-                continue
-            self._apply(config)
-            return
-
     def _apply(self, config: Config) -> None:
         """Go by another configuration. Address, name and limits of the machine stay as they were at the start.
 
@@ -348,8 +324,7 @@
             if answer.sqlstate == "08P01":
                 LOG.error("defect: a server did not take a statement")
         payload = answer.payload if answer is not None else b""
-        self._answers[outcome.value] += 1
-        self._answers_us += at_us - sent.attempt.started_us if outcome is Outcome.SERVED else 0
+        self._answers.add(outcome, at_us - sent.attempt.started_us)
         self._do(self._requests.ended(sent.attempt, outcome, at_us, now_us(), payload, report))
 
     def check_ended(self, check: Checking, outcome: Outcome, at_us: int, answer: Answer | None) -> None:
