--- a/tests/test_session_reads.py
+++ b/tests/test_session_reads.py
@@ -47,3 +47,20 @@
         driver.checked(PRIMARY, Role.PRIMARY)
     assert read_by(driver, "s") == PRIMARY
     assert read_by(driver, "other") != PRIMARY
+
+
+def test_an_open_write_binds_its_sessions_reads() -> None:
+    """A client did not see its own write where it had not waited for the write's answer.
+
+    A write is committed before its answer is here. A read that came meanwhile needed nothing and went to any replica.
+    Observatory, brink seed 82301, day 14, node n2: read 33 was sent at 3.188 s with `need -1` to a replica of unknown
+    position, while write 30 of its session, sent 31 ms before, was open; the write was answered at 3.214 s.
+    """
+    driver = remembering()
+    write = sent(driver.arrive("submit", session="s"))
+    driver.skip(31_000)
+    read = sent(driver.arrive("own", session="s"))
+    assert read.member == PRIMARY
+    assert read_by(driver, "other") != PRIMARY
+    driver.ended(write, Outcome.SERVED, answer=api.Report(driver.now, Role.PRIMARY))
+    assert driver.router.may_write(read.request, 0, driver.now), "the primary has it, whatever has ended meanwhile"
