A write that ended without an answer binds its session's reads

Cause: outcomes.py remembered a write only when it was answered with a position. Ruled out: forgotten sessions, positions that go back. Change: a session's writes are followed from their send; one that is over and may have run binds at settled_us, the time by which it has ended wherever it runs: its client's time and the class's deadline after it, or its window for repeats. One answered without a position binds at the time of its answer. Held reads and open writes are found by session through one structure (state.SessionRequests). Why it holds: positions are times of one clock, so a replica at that position has the write if it was ever committed.

--- a/oatlink/book.py
+++ b/oatlink/book.py
@@ -10,7 +10,7 @@
 
 from oatlink import interface as api
 from oatlink.holds import Holds, Kind, Row
-from oatlink.state import LONG_AGO, NEVER, Attempt, Belief, Group, Member, Request
+from oatlink.state import LONG_AGO, NEVER, Attempt, Belief, Group, Member, Request, SessionRequests
 
 __all__ = ["LONG_AGO", "NEVER", "Attempt", "Belief", "Book", "Group", "Holds", "Kind", "Member", "Request", "Row"]
 
@@ -76,6 +76,14 @@
     # Sessions' last writes, and the newest of those forgotten (`sessions`).
     sessions: OrderedDict[str, int] = field(default_factory=OrderedDict)
     forgotten_us: int = -1
+    # Sessions' writes that may be committed and are not known to be (`sessions`).
+    session_writes: SessionRequests = field(default_factory=SessionRequests)
+
+    def remember(self, session: str, position_us: int) -> None:
+        """Keep a session's last write. Memory is bounded: what is forgotten stands for every unknown session."""
+        self.sessions[session] = max(position_us, self.sessions.pop(session, self.forgotten_us))
+        if len(self.sessions) > self.settings.max_open:
+            self.forgotten_us = max(self.forgotten_us, self.sessions.popitem(last=False)[1])
 
     def group_of(self, group_id: int) -> Group:
         """The record of a group, made when it is first named."""
--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -35,6 +35,7 @@
 _RECORDS: tuple[type, ...] = (
     state.Attempt,
     state.Request,
+    state.SessionRequests,
     state.Member,
     state.Group,
     holds.Row,
--- a/oatlink/holds.py
+++ b/oatlink/holds.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from oatlink.interface import Freshness
-from oatlink.state import LONG_AGO, NEVER, Request
+from oatlink.state import LONG_AGO, NEVER, Request, SessionRequests
 
 Kind = tuple[str, float, bool, tuple[int, ...], bool, float]
 """Class, worth, whether late, members tried, whether it may not ask any more, its draw: what one says for all."""
@@ -111,7 +111,7 @@
     halves: list[tuple[int, int, str]] = field(default_factory=list)  # when, end, request
     ends: list[tuple[int, str]] = field(default_factory=list)
     lasts: list[tuple[int, str]] = field(default_factory=list)
-    session_reads: dict[str, dict[str, Request]] = field(default_factory=dict)  # by session, then by request
+    session_reads: SessionRequests = field(default_factory=SessionRequests)
 
     def __len__(self) -> int:
         return len(self.held)
@@ -127,17 +127,13 @@
         if row is None:
             row = self.rows[kind] = Row()
         row.put(request, need)
-        if request.session is not None and request.rule.freshness is Freshness.SESSION:
-            self.session_reads.setdefault(request.session, {})[request.id] = request
+        if request.rule.freshness is Freshness.SESSION:
+            self.session_reads.add(request)
 
     def move(self, request: Request, need: int) -> None:
         """Order a held request by another need, in the row that it is in."""
         self.put(request, self.held[request.id][1], need)
 
-    def reads_of(self, session: str) -> list[Request]:
-        """The held reads of a session."""
-        return list(self.session_reads.get(session, {}).values())
-
     def ends_at(self, request: Request, half: int, end: int, last: int) -> None:
         """Say when holding it on ends (see the module's head)."""
         heapq.heappush(self.halves, (half, end, request.id))
@@ -147,11 +143,8 @@
         """Hold a request no longer; whether it is held does not matter."""
         self._leave_row(request_id)
         found = self.held.pop(request_id, None)
-        session = found[0].session if found is not None else None
-        if session is not None and session in self.session_reads:
-            self.session_reads[session].pop(request_id, None)
-            if not self.session_reads[session]:
-                del self.session_reads[session]
+        if found is not None:
+            self.session_reads.drop(found[0])
 
     def _leave_row(self, request_id: str) -> None:
         found = self.held.get(request_id)
--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -21,17 +21,15 @@
         request.draw = (1 + book.random.randrange(DRAWS)) / DRAWS
         book.arrived, book.answered = book.arrived + 1, 0.95 * book.answered
         book.tied += (request.tied - book.tied) * max(1 / book.arrived, 0.01)
+    request.settled_us = request.expires_us + max(rule.deadline_us, rule.repeat_window_us)
     book.requests[request.id] = request
-    if group.checked_us < 0:
-        checks.check_all(book, group)  # the first request of a group asks its members who they are
-    else:
-        checks.check_old(book, group)
+    # The first request of a group asks its members who they are.
+    (checks.check_all if group.checked_us < 0 else checks.check_old)(book, group)
     book.worth += 0.05 * (request.worth - book.worth)
     drawn = book.random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
     if drawn > group.share ** book.worth and book.now - group.let_us < book.settings.fall_us:
         holding.give_up(book, request)
-    else:  # Threats: a share that is never tried never comes back. A tenant's flood: past its share it does
-        # not pass what waits; nor does anyone pass it to a room that an answer of this instant has freed.
+    else:  # Threat: a tenant's flood. Past its share it passes nothing that waits, nor is passed by others.
         group.let_us, held = book.now, bool(book.holds[group.id].held)
         placing.place(book, request, held and (request.worth < rule.worth or group.id in book.unsettled))
     due.plan(book, group)
--- a/oatlink/rules/cold.py
+++ b/oatlink/rules/cold.py
@@ -15,11 +15,9 @@
 
 
 def within_budget(book: Book, member: Member, weight: float, request: Request | None = None) -> bool:
-    """Threat: a cold member pushed over by all routers. What goes there costs tokens, the first drawn.
-
-    They come at the rate that this router alone has had from warm members: all add up to what one can do.
-    Threat: tokens lie with routers without requests. What only a primary takes comes first, by chance.
-    """
+    """Threat: a cold member pushed over by all routers. What goes there costs tokens, the first drawn."""
+    # They come at the rate that this router alone has had from warm members: all add up to what one can do.
+    # Threat: tokens lie with routers without requests. What only a primary takes comes first, by chance.
     warm = warmth(book, member)
     if warm >= 1.0:
         return True
--- a/oatlink/rules/due.py
+++ b/oatlink/rules/due.py
@@ -14,10 +14,9 @@
     if holds.held:
         ends = [soon_us, holds.next_end(answers.reserve_us(book, group))]
         ends += [one.full_until_us for one in group.members.values() if one.full_until_us > book.now]
-        look_by(book, group, min(ends))
     else:
-        silent = [checks.silent_at(book, group, one) for one in group.members.values()]
-        look_by(book, group, round(min([NEVER, *silent])))
+        ends = [NEVER, *[round(checks.silent_at(book, group, one)) for one in group.members.values()]]
+    look_by(book, group, min(ends))
 
 
 def look_by(book: Book, group: Group, at_us: int) -> None:
--- a/oatlink/rules/holding.py
+++ b/oatlink/rules/holding.py
@@ -77,8 +77,7 @@
 
 def give_up(book: Book, request: Request) -> None:
     """The final answer, at once: a refusal where trying again is harmless, else a failure."""
-    harmless = request.rule.effect is api.Effect.IDEMPOTENT or (
-        request.may_have_run_us is None and not any(one.out for one in request.attempts))
+    harmless = request.rule.effect is api.Effect.IDEMPOTENT or not request.may_have_run
     if harmless and book.now < request.expires_us - book.margin_us:
         past = request.rule.late_worth <= 0 and book.now >= request.arrived_us + request.rule.aim_us
         wait = book.settings.max_retry_after_us * (1.0 if past else book.random.uniform(0.25, 1.0))
@@ -95,4 +94,5 @@
         book.holds[request.group].pop(request_id)
         request.expires_us, write = book.now, request.rule.freshness is api.Freshness.WRITE  # no more is sent
         if not (has_left and write and any(one.out for one in request.attempts)):
+            sessions.ended(book, request, is_over=True)
             del book.requests[request_id]
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -38,6 +38,9 @@
         _learn(book, member, end, sent_us)
     if request is not None and end.attempt < len(request.attempts):
         request.attempts[end.attempt].out = False
+        if end.outcome.may_have_run and request.may_have_run_us is None:
+            request.may_have_run_us = request.attempts[end.attempt].sent_us
+        sessions.ended(book, request)
         (_served if end.over else _go_on)(book, request, end)
         placing.pump(book, book.groups[request.group])
     elif member is not None:
@@ -65,20 +68,18 @@
         book.do.append(DropIdle(member.entry.member))
         primaries.lose(book, member)
         checks.check(book, member)
-    elif end.outcome is Outcome.MISS or end.outcome is Outcome.ERROR:
+    elif end.outcome is Outcome.MISS or end.outcome is Outcome.ERROR and member.role is not Role.PRIMARY:
         request = book.requests.get(end.request)
-        if request is not None and request.rule.freshness is Freshness.WRITE and (
-                end.outcome is Outcome.MISS or member.role is not Role.PRIMARY):
+        if request is not None and request.rule.freshness is Freshness.WRITE:
             primaries.lose(book, member)
             checks.check(book, member)
 
 
 def _served(book: Book, request: Request, end: AttemptEnded) -> None:
     """The client has its answer: remember a session's write, call off copies."""
-    position_us = end.answer.position_us if end.answer is not None else None
-    is_write = request.rule.freshness is Freshness.WRITE
-    if is_write and position_us is not None and end.outcome is Outcome.SERVED:
-        sessions.committed(book, request, position_us)
+    if end.outcome is Outcome.SERVED:
+        position_us = end.answer.position_us if end.answer is not None else None
+        sessions.ended(book, request, book.now if position_us is None else position_us)
     if book.settings.may_cancel:
         book.do += [Cancel(request.id, number) for number, one in enumerate(request.attempts) if one.out]
     holding.forget(book, request.id)
@@ -86,8 +87,6 @@
 
 def _go_on(book: Book, request: Request, end: AttemptEnded) -> None:
     """An attempt has failed: the next one, or the end."""
-    if end.outcome.may_have_run and request.may_have_run_us is None:
-        request.may_have_run_us = request.attempts[end.attempt].sent_us
     if end.outcome is Outcome.NOT_SENT or book.now >= request.expires_us - book.margin_us:
         return holding.give_up(book, request)
     request.tried.append(end.member)
--- a/oatlink/rules/placing.py
+++ b/oatlink/rules/placing.py
@@ -53,11 +53,9 @@
 
 
 def _next(book: Book, group: Group, row: Row) -> Request | None:
-    """The oldest request of a row that finds a member now, if any does.
-
-    Threat: thousands of holds, each tried at every answer. One of a row stands for the others: all need
-    as much, or the later ones more; where needs differ (sessions), a position serves all that need less.
-    """
+    """The oldest request of a row that finds a member now, if any does."""
+    # Threat: thousands of holds, each tried at every answer. One of a row stands for the others: all need
+    # as much, or the later ones more; where needs differ (sessions), a position serves all that need less.
     oldest = row.oldest()
     if oldest is None:
         return None
--- a/oatlink/rules/room.py
+++ b/oatlink/rules/room.py
@@ -64,10 +64,8 @@
 
 
 def _admit_by(book: Book, member: Member, slow: bool) -> None:
-    """Threat: one attempt of each of many routers is already too much; room cannot fall below one.
-
-    Then a share is let in by chance: first, at a primary, of what has a choice, then of all the group's.
-    """
+    """Threat: one attempt of each of many routers is already too much; room cannot fall below one."""
+    # Then a share is let in by chance: first, at a primary, of what has a choice, then of all the group's.
     group = book.groups[member.entry.group]
     lends = group.primary == member.entry.member and book.now - book.lent_us < terms.HEARTBEAT_US
     if not slow:
--- a/oatlink/rules/router.py
+++ b/oatlink/rules/router.py
@@ -52,10 +52,11 @@
     def may_write(self, request_id: str, index: int, now_us: int) -> bool:
         """Whether an attempt may still be written: what it was sent by is looked at again. No change."""
         book, request = self.book, self.book.requests.get(request_id)
-        member = book.members.get(request.attempts[index].member) if request is not None else None
-        was, book.now = book.now, now_us
-        may = (request is not None and member is not None
-               and sending.may_write(book, request, member, request.attempts[index].sent_us))
+        if request is None:
+            return False
+        attempt = request.attempts[index]
+        member, was, book.now = book.members.get(attempt.member), book.now, now_us
+        may = member is not None and sending.may_write(book, request, member, attempt.sent_us)
         book.now = was  # a replay does not ask, and must go on from the same state
         return may
 
--- a/oatlink/rules/sending.py
+++ b/oatlink/rules/sending.py
@@ -2,7 +2,7 @@
 
 from oatlink import interface as api
 from oatlink.book import Attempt, Book, Member, Request
-from oatlink.rules import cold, holding
+from oatlink.rules import cold, holding, sessions
 
 
 def send(book: Book, request: Request, member: Member) -> bool:
@@ -11,6 +11,7 @@
         return False
     member.out[(request.id, len(request.attempts))] = book.now
     request.attempts.append(Attempt(member.entry.member, book.now))
+    sessions.sent(book, request)
     member.tokens -= 0.0 if request.tied else 1.0
     member.turn = book.turn = book.turn + 1
     book.holds[request.group].pop(request.id)
--- a/oatlink/rules/sessions.py
+++ b/oatlink/rules/sessions.py
@@ -1,6 +1,7 @@
 """What a session's read must see: each write of it that may have been committed before the read is sent."""
 
 from oatlink.book import Book, Request
+from oatlink.interface import Freshness
 
 
 def needed_us(book: Book, request: Request) -> int:
@@ -11,17 +12,21 @@
     return max(bounds)
 
 
-def committed(book: Book, write: Request, position_us: int) -> None:
-    """A write is known to be committed. Threat: its session's reads that wait already are ordered by less."""
-    if write.session is not None and book.settings.router_remembers_sessions:
-        remember(book, write.session, position_us)
-        pending = book.holds[write.group]
-        for read in pending.reads_of(write.session):
-            pending.move(read, needed_us(book, read))
+def sent(book: Book, request: Request) -> None:
+    """Follow a write of a session until it is known what has become of it."""
+    if book.settings.router_remembers_sessions and request.rule.freshness is Freshness.WRITE:
+        book.session_writes.add(request)
 
 
-def remember(book: Book, session: str, position_us: int) -> None:
-    """Keep a session's last write. Memory is bounded: what is forgotten binds every unknown session."""
-    book.sessions[session] = max(position_us, book.sessions.pop(session, book.forgotten_us))
-    if len(book.sessions) > book.settings.max_open:
-        book.forgotten_us = max(book.forgotten_us, book.sessions.popitem(last=False)[1])
+def ended(book: Book, write: Request, position_us: int | None = None, is_over: bool = False) -> None:
+    """An attempt has ended, or the request: the write is committed, has never run, or may have run."""
+    if position_us is None and write.may_have_run:
+        if not is_over:
+            return
+        position_us = write.settled_us  # Threat: what nobody waits for still runs, at the latest until then
+    if book.session_writes.drop(write):
+        if position_us is not None:
+            book.remember(write.session or "", position_us)
+        pending = book.holds[write.group]  # Threat: thousands wait. Only this session's are ordered anew.
+        for read in pending.session_reads.of(write.session):
+            pending.move(read, needed_us(book, read))
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -41,6 +41,36 @@
     asked: int = 0
     tied: bool = False  # to the primary, which alone takes it; told apart where there are many routers
     draw: float = 0.0  # above 0, at most 1, where there are many routers
+    settled_us: int = 0  # by when an attempt of it has ended wherever it runs, also with nobody waiting
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may have had its effect, or still may."""
+        return self.may_have_run_us is not None or any(one.out for one in self.attempts)
+
+
+@dataclass(slots=True)
+class SessionRequests:
+    """Requests by their session, then by their id."""
+
+    by_session: dict[str, dict[str, Request]] = field(default_factory=dict)
+
+    def add(self, request: Request) -> None:
+        """Take in a request; one without a session is passed over."""
+        if request.session is not None:
+            self.by_session.setdefault(request.session, {})[request.id] = request
+
+    def drop(self, request: Request) -> bool:
+        """Let a request go; whether it was there."""
+        requests = self.by_session.get(request.session or "", {})
+        was_there = requests.pop(request.id, None) is not None
+        if was_there and not requests:
+            del self.by_session[request.session or ""]
+        return was_there
+
+    def of(self, session: str | None) -> list[Request]:
+        """The requests of a session."""
+        return list(self.by_session.get(session, {}).values()) if session is not None else []
 
 
 @dataclass(slots=True)
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -12,7 +12,7 @@
 from oatlink.book import Book
 from oatlink.holds import Holds, Row
 from oatlink.interface import Outcome, Role
-from oatlink.rules import Router, holding, placing, room, sending, sessions
+from oatlink.rules import Router, holding, placing, room, sending
 from oatlink.state import Group, Member, Request
 from tests.conftest import ANY, CHECK, OWN, POST, SETTINGS, START_US, SUBMIT, VIEW, Driver, member, sends
 
@@ -188,7 +188,7 @@
     driver.router.book.groups[1].members[1].room = 1.0
     for number in range(1_000):
         session = f"s{number}"
-        sessions.remember(driver.router.book, session, driver.now + 1)  # no replica has it yet
+        driver.router.book.remember(session, driver.now + 1)  # no replica has it yet
         driver.arrive("own", session=session)
     assert len(driver.router.book.holds[1]) > 900
     tried = 0
--- a/tests/test_session_reads.py
+++ b/tests/test_session_reads.py
@@ -5,7 +5,6 @@
 from oatlink import interface as api
 from oatlink.holds import Row
 from oatlink.interface import Outcome, Role
-from oatlink.rules import sessions
 from oatlink.state import Request
 from tests.conftest import Driver, sends
 
@@ -91,7 +90,7 @@
     book.groups[1].members[PRIMARY].room = 1.0
     for number in range(10_000):
         session = "s" if number % 5_000 == 0 else f"other {number}"
-        sessions.remember(book, session, driver.now + 1)  # no replica has it yet
+        book.remember(session, driver.now + 1)  # no replica has it yet
         driver.arrive("own", session=session)
     assert len(book.holds[1]) > 9_900
     moved: list[str | None] = []
