A write that is still open binds its session's reads

Cause: sessions.needed_us knew writes that had ended, and none that was out. Change: an open write binds at settled_us, which no replica can have before it is over, so the primary serves; a need that lies in the future asks no replica for a report. A write sent in the same instant does not bind: it cannot be committed yet, and the look before the read's write asks again.

--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -23,8 +23,7 @@
         book.tied += (request.tied - book.tied) * max(1 / book.arrived, 0.01)
     request.settled_us = request.expires_us + max(rule.deadline_us, rule.repeat_window_us)
     book.requests[request.id] = request
-    # The first request of a group asks its members who they are.
-    (checks.check_all if group.checked_us < 0 else checks.check_old)(book, group)
+    (checks.check_all if group.checked_us < 0 else checks.check_old)(book, group)  # at first: who they are
     book.worth += 0.05 * (request.worth - book.worth)
     drawn = book.random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
     if drawn > group.share ** book.worth and book.now - group.let_us < book.settings.fall_us:
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -78,8 +78,7 @@
 def _served(book: Book, request: Request, end: AttemptEnded) -> None:
     """The client has its answer: remember a session's write, call off copies."""
     if end.outcome is Outcome.SERVED:
-        position_us = end.answer.position_us if end.answer is not None else None
-        sessions.ended(book, request, book.now if position_us is None else position_us)
+        sessions.ended(book, request, (end.answer and end.answer.position_us) or book.now)
     if book.settings.may_cancel:
         book.do += [Cancel(request.id, number) for number, one in enumerate(request.attempts) if one.out]
     holding.forget(book, request.id)
--- a/oatlink/rules/reads.py
+++ b/oatlink/rules/reads.py
@@ -19,7 +19,7 @@
         _ask_one(book, replicas, book.now - book.bound_us // 2)
     if best is None and not fit and book.settings.members_check_reads:
         best = _most_advanced(book, [one for one in replicas if one.entry.member not in request.tried], need)
-    elif best is None and book.settings.may_probe and _ask_replica(book, request, group):
+    elif best is None and book.settings.may_probe and need <= book.now and _ask_replica(book, request, group):
         return None
     # Threat: reads crowd out writes. Those with a choice get half the room, current ones three quarters.
     share = 0.75 if request.rule.freshness is Freshness.LATEST else 0.5
--- a/oatlink/rules/sessions.py
+++ b/oatlink/rules/sessions.py
@@ -9,6 +9,8 @@
     bounds = [-1 if request.need_us is None else request.need_us]
     if request.session is not None:
         bounds.append(book.sessions.get(request.session, book.forgotten_us))
+        open_writes = book.session_writes.of(request.session)
+        bounds += [one.settled_us for one in open_writes if one.attempts[0].sent_us < book.now]
     return max(bounds)
 
 
