A model of what sessions' reads must see, against the Router, by hypothesis

Need: three causes of one fault were found one after the other; whatever else can hide a session's write has to be found by draws, not by callers. Change: a stateful test draws writes and reads of two sessions, every outcome, pending and withdrawn attempts, clients that leave, elections, checks and forgetting; tests/session_world.py plays the servers and knows what is committed where. Seven faults put in one by one have to be found: needs kept from the arrival, open writes, unanswered writes (unbound, or bound at their end), writes of clients that left, forgotten sessions, no look before the write.

--- /dev/null
+++ b/tests/test_session_model.py
@@ -0,0 +1,227 @@
+"""Routers under writes and reads of few sessions, drawn by hypothesis, against the plain model of `session_world`.
+
+Each way in which a session's read can miss its own write is put back in turn, and the same machine has to find it.
+"""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule, run_state_machine_as_test
+
+from oatlink.book import Book, Request
+from oatlink.interface import Outcome
+from oatlink.rules import holding, sending, sessions
+from tests.session_world import MEMBERS, SESSIONS, OpenAttempt, World
+
+NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.MISS)
+WITHOUT_ANSWER = (Outcome.RESET, Outcome.LATE, Outcome.CANCELLED)
+PAUSES_US = (1, 1_000, 1_000, 20_000, 20_000, 150_000, 600_000, 2_000_000)
+
+
+class SessionReads(RuleBasedStateMachine):
+    """Writes and reads of few sessions at one router; the world checks each read as it is written."""
+
+    world: World
+
+    @initialize(max_open=st.sampled_from((1, 2, 100)))
+    def start(self, max_open: int) -> None:
+        self.world = World.start(max_open)
+
+    @rule(
+        kind=st.sampled_from(("submit", "post", "own")),
+        session=st.sampled_from(SESSIONS),
+        after_us=st.sampled_from((0, 1_000, 20_000)),
+        is_written=st.sampled_from((True, True, False)),
+        is_committed=st.booleans(),
+    )
+    def request(self, kind: str, session: str, after_us: int, is_written: bool, is_committed: bool) -> None:
+        """A request comes; most often its connection is there, and its write may be committed right after."""
+        self.world.wait(after_us)
+        self.world.arrive(kind, session)
+        if is_written:
+            for attempt in [one for one in self.world.open if not one.is_written]:
+                self.world.write_out(attempt)
+        self.world.wait(1)
+        for write in self.world.writes:
+            if is_committed and self.world.may_commit(write):
+                self.world.commit(write)
+
+    @precondition(lambda self: any(not one.is_written for one in self.world.open))
+    @rule(which=st.integers(0, 9))
+    def connection(self, which: int) -> None:
+        waiting = [one for one in self.world.open if not one.is_written]
+        self.world.write_out(waiting[which % len(waiting)])
+
+    @precondition(lambda self: any(self.world.may_commit(one) for one in self.world.writes))
+    @rule(which=st.integers(0, 9))
+    def commit(self, which: int) -> None:
+        may = [one for one in self.world.writes if self.world.may_commit(one)]
+        self.world.commit(may[which % len(may)])
+
+    def _written(self, which: int) -> OpenAttempt:
+        written = [one for one in self.world.open if one.is_written]
+        return written[which % len(written)]
+
+    @precondition(lambda self: any(one.is_written for one in self.world.open))
+    @rule(which=st.integers(0, 9), with_position=st.booleans())
+    def served(self, which: int, with_position: bool) -> None:
+        attempt = self._written(which)
+        write = attempt.write
+        if write is not None and write.committed_us is None:
+            if not self.world.may_commit(write):
+                return
+            self.world.commit(write)
+        self.world.end(attempt, Outcome.SERVED, with_position=with_position)
+
+    @precondition(lambda self: any(one.is_written for one in self.world.open))
+    @rule(which=st.integers(0, 9), outcome=st.sampled_from(WITHOUT_ANSWER))
+    def cut_off(self, which: int, outcome: Outcome) -> None:
+        self.world.end(self._written(which), outcome)
+
+    @precondition(lambda self: any(one.is_written for one in self.world.open))
+    @rule(which=st.integers(0, 9), outcome=st.sampled_from(NEVER_RAN))
+    def turned_away(self, which: int, outcome: Outcome) -> None:
+        attempt = self._written(which)
+        if attempt.write is None or attempt.write.committed_us is None:
+            self.world.end(attempt, outcome)
+
+    @precondition(lambda self: self.world.open)
+    @rule(which=st.integers(0, 9), chance=st.integers(0, 2))
+    def client_leaves(self, which: int, chance: int) -> None:
+        if chance == 0:
+            self.world.leave(self.world.open[which % len(self.world.open)].send.request)
+
+    @precondition(lambda self: self.world.checks)
+    @rule(which=st.integers(0, 9), is_well=st.sampled_from((True, True, True, False)))
+    def check_ends(self, which: int, is_well: bool) -> None:
+        self.world.answer_check(self.world.checks[which % len(self.world.checks)], is_well)
+
+    @rule(member=st.sampled_from(MEMBERS), behind_us=st.sampled_from((0, 0, 30_000, 400_000)))
+    def replica_applies(self, member: int, behind_us: int) -> None:
+        self.world.apply(member, self.world.driver.now - behind_us)
+
+    @rule(member=st.sampled_from(MEMBERS), chance=st.integers(0, 9))
+    def election(self, member: int, chance: int) -> None:
+        if chance == 0:
+            self.world.elect(member)
+
+    @rule(us=st.sampled_from(PAUSES_US))
+    def time_passes(self, us: int) -> None:
+        self.world.wait(us)
+
+
+def play(examples: int, phases: tuple[Phase, ...] = tuple(Phase)) -> None:
+    """The machine, the same each time."""
+    run_state_machine_as_test(
+        SessionReads,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=40,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=phases,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_a_sessions_read_sees_each_write_that_may_have_been_committed() -> None:
+    play(300)
+
+
+# ---- Each mend taken out ----
+
+
+def _needs_as_known_at_arrival(patch: pytest.MonkeyPatch) -> None:
+    needed_us, first = sessions.needed_us, dict[int, tuple[Request, int]]()  # requests are kept, for their identity
+
+    def kept(book: Book, request: Request) -> int:
+        return first.setdefault(id(request), (request, needed_us(book, request)))[1]
+
+    patch.setattr(sessions, "needed_us", kept)
+
+
+def _open_writes_bind_nobody(patch: pytest.MonkeyPatch) -> None:
+    needed_us = sessions.needed_us
+
+    def without(book: Book, request: Request) -> int:
+        followed, book.session_writes = book.session_writes, type(book.session_writes)()
+        needed = needed_us(book, request)
+        book.session_writes = followed
+        return needed
+
+    patch.setattr(sessions, "needed_us", without)
+
+
+def _unanswered_writes_bind_nobody(patch: pytest.MonkeyPatch) -> None:
+    ended = sessions.ended
+
+    def forgets(book: Book, write: Request, position_us: int | None = None, is_over: bool = False) -> None:
+        if is_over:
+            book.session_writes.drop(write)
+        ended(book, write, position_us, is_over)
+
+    patch.setattr(sessions, "ended", forgets)
+
+
+def _unanswered_writes_bind_at_their_end(patch: pytest.MonkeyPatch) -> None:
+    ended = sessions.ended
+
+    def too_early(book: Book, write: Request, position_us: int | None = None, is_over: bool = False) -> None:
+        ended(book, write, book.now if is_over and position_us is None and write.may_have_run else position_us, is_over)
+
+    patch.setattr(sessions, "ended", too_early)
+
+
+def _writes_of_clients_that_left_bind_nobody(patch: pytest.MonkeyPatch) -> None:
+    forget = holding.forget
+
+    def drops(book: Book, request_id: str, has_left: bool = False) -> None:
+        request = book.requests.get(request_id)
+        if has_left and request is not None:
+            book.session_writes.drop(request)
+        forget(book, request_id)
+
+    patch.setattr(holding, "forget", drops)
+
+
+def _forgotten_sessions_bind_nobody(patch: pytest.MonkeyPatch) -> None:
+    remember = Book.remember
+
+    def drops(book: Book, session: str, position_us: int) -> None:
+        remember(book, session, position_us)
+        book.forgotten_us = -1
+
+    patch.setattr(Book, "remember", drops)
+
+
+def _no_look_before_the_write(patch: pytest.MonkeyPatch) -> None:
+    may_write = sending.may_write
+
+    def blind(book: Book, request: Request, member: object, sent_us: int) -> bool:
+        return sent_us < book.now or may_write(book, request, member, sent_us)  # type: ignore[arg-type]
+
+    patch.setattr(sending, "may_write", blind)
+
+
+SABOTAGES: tuple[Callable[[pytest.MonkeyPatch], None], ...] = (
+    _needs_as_known_at_arrival,
+    _open_writes_bind_nobody,
+    _unanswered_writes_bind_nobody,
+    _unanswered_writes_bind_at_their_end,
+    _writes_of_clients_that_left_bind_nobody,
+    _forgotten_sessions_bind_nobody,
+    _no_look_before_the_write,
+)
+
+
+@pytest.mark.parametrize("sabotage", SABOTAGES, ids=lambda one: one.__name__.strip("_"))
+def test_the_model_finds_each_mend_taken_out(
+    sabotage: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sabotage(monkeypatch)
+    with pytest.raises(AssertionError, match=r"read of . at "):
+        play(1_500, phases=(Phase.generate,))  # the first that is found will do, it need not be the shortest
