--- a/oatlink/audit/judge.py
+++ b/oatlink/audit/judge.py
@@ -12,7 +12,8 @@
 - Drains: no data command reaches a box later than the grace after the roster told of its drain.
 - Cold: in no window of `fall_us` does the work sent to a box that warms up exceed the factor times its ability.
 - Stale: no read lacks a post that it must see: for a current read all acknowledged before it was sent; for a
-  bounded one all acknowledged `staleness_us` before it was sent to the box; for a session's all its own.
+  bounded one all acknowledged `staleness_us` before it was sent to the box; for a session's all its own, also those
+  that were never acknowledged: a box had applied them before the read was sent, and they were not lost since.
 Beside them: a post that was acknowledged and is not in the data at the end was lost.
 """
 
@@ -25,6 +26,7 @@
 from oatlink.protocols.resp import Array, decode
 
 RULES = ("one_answer", "no_effect_twice", "drains_kept", "cold_spared", "no_stale_read", "nothing_lost")
+OWN_KEYS = b"own:"  # what only one client writes and reads, as a session
 DATA = frozenset((b"XADD", b"XREVRANGE", b"RPUSH", b"GET", b"SET"))
 StreamId = tuple[int, int]
 
@@ -128,7 +130,7 @@
                         if call.args[0].upper() == b"XREVRANGE":
                             self._at_boxes[call.args[3]].append(call)
         self._effects(final)
-        self._stale()
+        self._stale(self._applied(final))
         self._drains()
         self._cold()
         return self.verdict
@@ -219,7 +221,18 @@
 
     # ---- Freshness ----
 
-    def _stale(self) -> None:
+    def _applied(self, final: dict[bytes, list[bytes]]) -> dict[bytes, list[tuple[int, StreamId]]]:
+        """By key: when each post that a session owns and that has lasted was first applied, and its id."""
+        first: dict[bytes, dict[StreamId, int]] = defaultdict(dict)
+        for one in self._capture.applied:
+            key = one.args[1]
+            if key.startswith(OWN_KEYS) and one.args[-1] in final.get(key, ()):
+                at = one.args.index(b"IDMP") + 3
+                found = _id(one.args[at])
+                first[key][found] = min(one.at_us, first[key].get(found, one.at_us))
+        return {key: [(when, one) for one, when in found.items()] for key, found in first.items()}
+
+    def _stale(self, applied: dict[bytes, list[tuple[int, StreamId]]]) -> None:
         acked: dict[bytes, list[tuple[int, StreamId, str]]] = defaultdict(list)
         for post in self._posts:
             if post.found is not None:
@@ -254,6 +267,7 @@
                 must, since = _must(best.get(key), call.sent_us)
             elif freshness == "session":
                 mine = [(when, one) for when, one, place in acked.get(key, []) if place == call.place]
+                mine += applied.get(key, [])
                 must, since = max([(one, when) for when, one in mine if when < call.sent_us], default=((0, 0), 0))
             else:
                 continue
@@ -261,7 +275,7 @@
                 self.verdict.stale_reads += 1
                 self.verdict.stalest_us = max(self.verdict.stalest_us, attempts[0].sent_us - since)
                 self.verdict.broken["no_stale_read"].append(
-                    f"{call.place} {tag.decode()} at {attempts[0].place}: saw {seen}, {must} was acknowledged "
+                    f"{call.place} {tag.decode()} at {attempts[0].place}: saw {seen}, {must} was there "
                     f"{call.sent_us - since} us before"
                 )
 
--- a/oatlink/lab/day.py
+++ b/oatlink/lab/day.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from oatlink.audit.capture import Capture
-from oatlink.audit.judge import Judge, Terms
+from oatlink.audit.judge import OWN_KEYS, Judge, Terms
 from oatlink.lab.days.clients import Clients, Watch, operate
 from oatlink.lab.days.commands import Commands
 from oatlink.lab.days.final import final
@@ -60,6 +60,10 @@
     def _tap(self, box: str, connection: int, way: str, data: bytes) -> None:
         self.world.capture.add(now_us(), box, connection, way == "out", data)
 
+    def _applied(self, box: str, args: list[bytes]) -> None:
+        if args[0] == b"XADD" and args[1].startswith(OWN_KEYS):
+            self.world.capture.apply(now_us(), box, args)
+
     async def run(self) -> Report:
         """Play the day and judge it."""
         world = self.world
@@ -68,6 +72,7 @@
             end = await world.embedded.start()
             for box in world.embedded.boxes.values():
                 box._started_s -= WARM_S  # the day begins with a warm fleet
+                box.applied = self._applied
             world.write_roster()
             try:
                 await self.before(Path(folder))
--- a/oatlink/lab/days/schedule.py
+++ b/oatlink/lab/days/schedule.py
@@ -77,8 +77,20 @@
     return tuple(steps)
 
 
+def _unanswered() -> tuple[Step, ...]:
+    """Replicas that lag, and writes whose answers break off, are lost or come after a silence, again and again."""
+    steps = [Step(0.02, "lag", box=f"box-{bank}-{one}", value=2_500, back=0.9) for bank in (0, 1) for one in (1, 2)]
+    for at in range(16):
+        steps.append(Step(0.05 + 0.05 * at, "cut", box=f"primary:{at % 2}", value=6))
+    steps.append(Step(0.30, "lose_answers", box="primary:0", back=0.06))
+    steps.append(Step(0.50, "lose_answers", box="primary:1", back=0.06))
+    steps.append(Step(0.70, "hang", box="primary:0", back=0.05))
+    return tuple(steps)
+
+
 SCENARIOS = {
     "quiet": Scenario(()),
+    "unanswered": Scenario(_unanswered()),
     "trouble": Scenario(
         (
             Step(0.06, "lag", box="replica:0", value=1_500, back=0.2),
--- a/tests/sabotage.py
+++ b/tests/sabotage.py
@@ -11,7 +11,7 @@
 from oatlink.core.positions import Positions
 from oatlink.gateway import links
 from oatlink.gateway.server import Gateway
-from oatlink.rules import cold, reads
+from oatlink.rules import cold, reads, sessions
 
 count = 0
 
@@ -73,6 +73,18 @@
     cold.within_budget = lambda *_: True
 
 
+def own_writes_seen() -> None:
+    """A session's write that got no answer binds nobody."""
+    whole = sessions.ended
+
+    def ended(book: Book, write: Request, position_us: int | None = None, is_over: bool = False) -> None:
+        if is_over:
+            book.session_writes.drop(write)
+        whole(book, write, position_us, is_over)
+
+    sessions.ended = ended
+
+
 def no_stale_read() -> None:
     """Every replica is believed to be up to date."""
     Positions.time_of = lambda self, replid, offset: self.newest_us()  # type: ignore[method-assign]
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -64,3 +64,20 @@
         if reports[-1].verdict.broken[rule]:
             return
     raise AssertionError([one.as_json() for one in reports])
+
+
+def test_a_session_sees_its_writes_that_were_never_answered() -> None:
+    report = play(SCENARIOS["unanswered"], seed=3, seconds=6)
+    data = report.as_json()
+    assert report.verdict.kept, data["examples"]
+    assert data["failed"] > 5 and data["unanswered"] == 0  # type: ignore[operator]
+
+
+def test_the_judge_finds_a_session_that_misses_a_write_that_was_never_answered() -> None:
+    reports = []
+    for seed in (3, 4, 5):
+        line = [sys.executable, SABOTAGE, "own_writes_seen"]
+        reports.append(play(SCENARIOS["unanswered"], seed=seed, seconds=6, command_line=line))
+        if reports[-1].verdict.broken["no_stale_read"]:
+            return
+    raise AssertionError([one.as_json() for one in reports])
