--- a/oatlink/audit/judge.py
+++ b/oatlink/audit/judge.py
@@ -227,7 +227,7 @@
         for one in self._capture.applied:
             key = one.args[1]
             if key.startswith(OWN_KEYS) and one.args[-1] in final.get(key, ()):
-                at = one.args.index(b"IDMP") + 3
+                at = one.args.index(b"IDMP") + 3 if b"IDMP" in one.args else 2  # a whole copy names no producer
                 found = _id(one.args[at])
                 first[key][found] = min(one.at_us, first[key].get(found, one.at_us))
         return {key: [(when, one) for one, when in found.items()] for key, found in first.items()}
