--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -254,8 +254,8 @@
     """An engine for a new process, with what may still be believed from an older one's snapshot.
 
     Taken over: the histories of offsets (a point stays true: who held P then held all that was written), and each
-    session's last write, so that a client that comes back under its name still reads its own writes. Sessions that
-    were forgotten stay bound by the newest of them.
+    session's last write, so that a client that comes back under its name still reads its own writes. What was written
+    since the snapshot is not known, so each session is bound at the start itself at least.
 
     Not taken over: clients, requests and attempts (theirs to retry); roles (an election may have come between; every
     group asks its members at its first request); positions, rooms and rates of members (shown anew within a few
@@ -272,7 +272,15 @@
     engine = Engine(settings, now_us)
     for mine, theirs in zip(engine._groups, old._groups, strict=True):
         mine.positions = theirs.positions
-    engine.router.book.sessions = old.router.book.sessions
-    engine.router.book.forgotten_us = old.router.book.forgotten_us
+    _take_over_sessions(engine.router.book, old.router.book, now_us)
     engine.fresh = False
     return engine
+
+
+def _take_over_sessions(book: Book, old: Book, now_us: int) -> None:
+    """Bind sessions by what they had written, by what was open, and by all that came after the snapshot was taken."""
+    book.forgotten_us = max(old.forgotten_us, now_us)
+    for session, position_us in old.sessions.items():
+        book.remember(session, max(position_us, now_us))
+    for session in old.session_writes.by_session:
+        book.remember(session, max(one.settled_us for one in old.session_writes.of(session)))
