Known red: SIGHUP in the first moment of the process kills a gateway

Change: a test that starts the gateway by the deploy file's command and sends SIGHUP as soon as the shell has become Python; listed. Measured: fails, the process ends by signal 1.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -4,11 +4,13 @@
 import contextlib
 import json
 import os
+import shlex
 import signal
 import struct
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -267,6 +269,22 @@
         )
         self._reading = asyncio.ensure_future(self._read())
 
+    async def launch_as_deployed(self) -> None:
+        """Start the gateway by the deploy file's command, under a shell, and wait until that has become Python."""
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        command = deploy["run"].replace(".venv/bin/python", shlex.quote(sys.executable))
+        self.process = await asyncio.create_subprocess_exec(
+            "/bin/sh",
+            "-c",
+            command,
+            cwd=ROOT,
+            env=os.environ | {"GW_CONFIG": str(self.path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.ensure_future(self._read())
+        words = Path(f"/proc/{self.process.pid}/cmdline")
+        await self.until(lambda: words.read_bytes().startswith(os.fsencode(sys.executable) + b"\0"))
+
     async def serves(self) -> None:
         """Wait until it serves."""
         line = await self.logged("ready: ")
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -165,3 +165,20 @@
             assert not one.servers[1].statements, "it drains"
         finally:
             await one.stop()
+
+
+@scene(in_a_place, running=False)
+async def test_a_new_configuration_in_the_first_moment_of_the_process_kills_nobody(one: World) -> None:
+    """A gateway that was just being started died of the SIGHUP that told the fleet of a new configuration.
+
+    For about 85 ms the interpreter starts, before any line of this program runs; a SIGHUP then ends the process.
+    Nothing is logged; the process is seen to end by signal 1. The configuration is read later, so nothing is missed.
+    """
+    await one.launch_as_deployed()
+    try:
+        one.signal(signal.SIGHUP)
+        await one.serves()
+        client = await one.client()
+        client.writer.close()
+    finally:
+        await one.stop()
