--- a/oatlink/audit/judge.py
+++ b/oatlink/audit/judge.py
@@ -225,6 +225,8 @@
         """By key: when each post that a session owns and that has lasted was first applied, and its id."""
         first: dict[bytes, dict[StreamId, int]] = defaultdict(dict)
         for one in self._capture.applied:
+            if one.args[0] != b"XADD":
+                continue  # other judges want to know other commands
             key = one.args[1]
             if key.startswith(OWN_KEYS) and one.args[-1] in final.get(key, ()):
                 at = one.args.index(b"IDMP") + 3 if b"IDMP" in one.args else 2  # a whole copy names no producer
