Tests of what binds a session's reads for how long

Need: what a write that never ran, one without a position, and one that is settled bind was shown by the model only. Change: a test each.

--- a/tests/test_session_reads.py
+++ b/tests/test_session_reads.py
@@ -6,7 +6,7 @@
 from oatlink.holds import Row
 from oatlink.interface import Outcome, Role
 from oatlink.state import Request
-from tests.conftest import Driver, sends
+from tests.conftest import SUBMIT, Driver, sends
 
 PRIMARY = 1
 
@@ -103,3 +103,37 @@
     monkeypatch.setattr(Row, "put", counted)
     driver.ended(write, Outcome.SERVED, answer=api.Report(driver.now + 2, Role.PRIMARY))
     assert moved.count("s") >= 2 and len(moved) < 10
+
+
+def test_a_write_that_never_ran_binds_nobody() -> None:
+    driver = remembering()
+    write = sent(driver.arrive("submit", session="s"))
+    driver.skip(1_000)
+    driver.ended(write, Outcome.FULL)
+    assert read_by(driver, "s") != PRIMARY
+    assert not driver.router.book.session_writes.by_session and not driver.router.book.sessions
+
+
+def test_an_unanswered_write_binds_until_a_replica_stands_where_it_must_have_ended() -> None:
+    """By its client's time and the class's deadline after it, whatever was sent has ended wherever it ran."""
+    driver = remembering()
+    write = sent(driver.arrive("submit", session="s", expires=1_000_000))
+    driver.skip(1_000_000)
+    driver.ended(write, Outcome.LATE)
+    settled_us = driver.now + SUBMIT.deadline_us
+    assert driver.router.book.sessions == {"s": settled_us}
+    driver.skip(SUBMIT.deadline_us - 10_000)
+    driver.checked(PRIMARY, Role.PRIMARY)
+    driver.checked(2, Role.REPLICA)
+    assert read_by(driver, "s") == PRIMARY
+    driver.skip(20_000)
+    driver.checked(2, Role.REPLICA)
+    assert read_by(driver, "s") == 2, "the other replica is older"
+
+
+def test_a_write_that_was_answered_without_a_position_binds_at_its_answer() -> None:
+    driver = remembering()
+    write = sent(driver.arrive("submit", session="s"))
+    driver.skip(10_000)
+    driver.ended(write, Outcome.SERVED)
+    assert driver.router.book.sessions == {"s": driver.now}
