--- a/oatlink/holds.py
+++ b/oatlink/holds.py
@@ -19,7 +19,7 @@
 Kind = tuple[str, float, bool, tuple[int, ...], bool, float]
 """Class, worth, whether late, members tried, whether it may not ask any more, its draw: what one says for all."""
 
-LEAST_WINDOW = 1024  # numbers
+LEAST_WINDOW_ROWS = 1024  # numbers
 
 
 @dataclass(slots=True)
@@ -85,7 +85,7 @@
         needs = {one: self.low[one - self.first + self.size] for one in self.held}
         least, most = min([number, *needs]), max([number, *needs])
         span = most - least + 1
-        self.size = LEAST_WINDOW
+        self.size = LEAST_WINDOW_ROWS
         while self.size < 4 * span:
             self.size *= 2
         self.first = least - span
--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -4,7 +4,7 @@
 from oatlink.interface import Arrival, Freshness
 from oatlink.rules import checks, due, holding, placing, terms
 
-DRAWS = 8  # steps in which a cold primary lets in what only it takes
+DRAW_STEPS_COUNT = 8  # in which a cold primary admits what only it takes
 
 
 def arrive(book: Book, event: Arrival) -> None:
@@ -16,9 +16,9 @@
     need = book.now if rule.freshness is Freshness.LATEST else need
     request = Request(event.request, rule, event.group, book.now, book.now + event.expires_in_us,
                       event.session, need, rule.worth * _share_worth(book, event.tenant), group.arrived)
-    if book.settings.peers > terms.FEW_PEERS:
+    if book.settings.peers > terms.FEW_PEERS_COUNT:
         request.tied = rule.freshness in (Freshness.WRITE, Freshness.LATEST)
-        request.draw = (1 + book.random.randrange(DRAWS)) / DRAWS
+        request.draw = (1 + book.random.randrange(DRAW_STEPS_COUNT)) / DRAW_STEPS_COUNT
         book.arrived, book.answered = book.arrived + 1, 0.95 * book.answered
         book.tied += (request.tied - book.tied) * max(1 / book.arrived, 0.01)
     request.settled_us = request.expires_us + max(rule.deadline_us, rule.repeat_window_us)
--- a/oatlink/rules/cold.py
+++ b/oatlink/rules/cold.py
@@ -3,9 +3,9 @@
 from oatlink.book import Book, Member, Request
 from oatlink.rules.terms import HEARTBEAT_US
 
-COLD_PART = 0.7  # of what a cold member bears, given out among all routers: the rest is left for chance
-KEPT = 1.1  # tokens that a router may always keep: an attempt, and the check that shows a replica fit for it
-COLD_FLOOR = 6.0  # attempts in a window, of all routers together, at a cold member of unknown strength
+COLD_BUDGET_SHARE = 0.7  # of what a cold member bears, for all routers together; the rest is left for chance
+KEPT_TOKENS_COUNT = 1.1  # that a router may always keep: for an attempt, and the check before it
+COLD_FLOOR_ATTEMPTS = 6.0  # in a window, of all routers together, where nothing is known yet
 
 
 def warmth(book: Book, member: Member) -> float:
@@ -27,7 +27,7 @@
         peers = [one for one in book.members.values() if not one.drained and warmth(book, one) >= 1.0]
         shown = sum(rate(book, one) for one in peers) / len(peers) if peers else book.shown
         book.shown = max(shown, 0.99 * book.shown + 0.01 * shown)
-    window_s, part = settings.fall_us / 1e6, COLD_PART * settings.overload_factor * warm
+    window_s, part = settings.fall_us / 1e6, COLD_BUDGET_SHARE * settings.overload_factor * warm
     # What only the primary takes, in what a member answers. Threat: nothing is answered, so nothing let in.
     own = book.tied * sum(not one.drained for one in group.members.values()) / max(0.5, min(1, book.answered))
     if request is not None and request.tied:
@@ -35,9 +35,9 @@
         spread_us = settings.fall_us + min(group.known_us - group.lost_us, request.rule.deadline_us) or -1
         return request.draw * own <= part * min(1.0, (book.now - group.known_us) / spread_us)
     part -= own if group.primary == member.entry.member else 0.0
-    token_rate = max(COLD_FLOOR / settings.peers / window_s, part * book.shown)
-    passed_s = (book.now - max(member.tokens_us, member.started_us)) / 1e6
-    member.tokens = min(max(KEPT, token_rate * window_s), member.tokens + token_rate * max(0.0, passed_s))
+    token_rate = max(COLD_FLOOR_ATTEMPTS / settings.peers / window_s, part * book.shown)
+    came = token_rate * max(0.0, (book.now - max(member.tokens_us, member.started_us)) / 1e6)
+    member.tokens = min(max(KEPT_TOKENS_COUNT, token_rate * window_s), member.tokens + came)
     member.tokens_us = book.now
     return member.tokens >= weight
 
--- a/oatlink/rules/holding.py
+++ b/oatlink/rules/holding.py
@@ -4,7 +4,7 @@
 from oatlink.book import Book, Group, Holds, Kind, Request
 from oatlink.rules import answers, sessions
 
-MOST_ASKED = 2  # reports that one read may ask for before it goes to the primary
+READ_CHECKS_COUNT = 2  # before a read goes to the primary
 
 
 def need(book: Book, request: Request) -> int:
@@ -33,7 +33,7 @@
 def kind_of(book: Book, request: Request) -> Kind:
     """What one request must share with another to stand for it."""
     return (request.rule.name, request.worth, _late(book, request), tuple(request.tried),
-            request.asked >= MOST_ASKED, request.draw if request.tied else 0.0)
+            request.asked >= READ_CHECKS_COUNT, request.draw if request.tied else 0.0)
 
 
 def tidy_rows(book: Book, holds: Holds) -> None:
--- a/oatlink/rules/reads.py
+++ b/oatlink/rules/reads.py
@@ -49,11 +49,11 @@
     if any(one.check_sent_us is not None and not checks.in_doubt(book, one) for one in replicas):
         return True
     before_us = min(request.arrived_us, book.now - book.bound_us // 4)
-    member = _ask_one(book, replicas, before_us) if request.asked < holding.MOST_ASKED else None
+    member = _ask_one(book, replicas, before_us) if request.asked < holding.READ_CHECKS_COUNT else None
     if member is None:
         return False
     request.asked += 1
-    if request.asked == holding.MOST_ASKED and request.id in book.holds[group.id]:
+    if request.asked == holding.READ_CHECKS_COUNT and request.id in book.holds[group.id]:
         holding.put(book, book.holds[group.id], request)
     return member.check_sent_us is not None
 
--- a/oatlink/rules/room.py
+++ b/oatlink/rules/room.py
@@ -4,7 +4,7 @@
 from oatlink.interface import AttemptEnded, Outcome
 from oatlink.rules import answers, checks, cold, due, terms
 
-LEAST_SHARE = 0.05  # of requests admitted to a group whose answers are slow: enough to see it recover
+LEAST_ADMITTED_SHARE = 0.05  # to a group whose answers are slow: enough to see it recover
 
 
 def has_room(book: Book, member: Member, share: float, request: Request | None = None) -> bool:
@@ -71,7 +71,7 @@
     if not slow:
         group.share = min(1.0, group.share + 0.05)
         book.lend = min(1.0, (1.05 if lends else 1.0) * book.lend)
-    elif lends and book.lend > LEAST_SHARE:
+    elif lends and book.lend > LEAST_ADMITTED_SHARE:
         book.lend *= 0.8
-    elif member.room <= 1.0 and book.settings.peers > terms.FEW_PEERS:
-        group.share = max(LEAST_SHARE, 0.8 * group.share)
+    elif member.room <= 1.0 and book.settings.peers > terms.FEW_PEERS_COUNT:
+        group.share = max(LEAST_ADMITTED_SHARE, 0.8 * group.share)
--- a/oatlink/rules/roster.py
+++ b/oatlink/rules/roster.py
@@ -5,13 +5,13 @@
 from oatlink.rules import checks, primaries, terms
 
 CHECK_COST_US = 5_000  # what a check is taken to last before one has been answered
-START_ROOM = 16.0  # attempts out, of all routers together, at a member that has shown nothing: some a core
+START_ROOM_ATTEMPTS = 16.0  # out at a member that has shown nothing, of all routers together
 
 
 def start(book: Book) -> None:
     """Subscribe where discovery must be asked. Threat: all routers may start in the same instant."""
     if book.settings.must_ask_roster:
-        spread_us = book.settings.ask_within_us // 4 if book.settings.peers > terms.FEW_PEERS else 0
+        spread_us = book.settings.ask_within_us // 4 if book.settings.peers > terms.FEW_PEERS_COUNT else 0
         book.ask_at_us = book.now + round(spread_us * book.random.random())
 
 
@@ -49,7 +49,7 @@
     if member is None:
         # Threat: a new member is everybody's next. Its first turn, and its first token, are drawn.
         turn = book.turn - book.random.random() * (len(group.members) + 1)
-        room = max(1.0, START_ROOM / book.settings.peers)
+        room = max(1.0, START_ROOM_ATTEMPTS / book.settings.peers)
         member = Member(entry, turn, book.random.random(), room, CHECK_COST_US)
     member.entry = entry
     book.members[entry.member] = group.members[entry.member] = member
--- a/oatlink/rules/terms.py
+++ b/oatlink/rules/terms.py
@@ -5,7 +5,7 @@
 
 HEARTBEAT_US = 10_000_000  # the design's default; also how long what a member has shown is believed
 HOLD_CHECK_US = 500_000  # the design's period of checks while a group lacks a primary
-FEW_PEERS = 4  # routers of which each may always have an attempt out (one a core) and beat as the design says
+FEW_PEERS_COUNT = 4  # routers, each of which may have an attempt out and keep the design's heartbeat
 
 
 def configure(book: Book, settings: Settings) -> None:
@@ -20,5 +20,5 @@
     book.bound_us = min(bounds, default=HEARTBEAT_US)
     book.tick_us = max(4 * settings.step_us, 20_000)  # looks are rarer than batches, finer than any aim
     book.margin_us = 2 * settings.step_us
-    book.heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS)
+    book.heartbeat_us = HEARTBEAT_US * max(1, settings.peers // FEW_PEERS_COUNT)
     book.shares = {one: (max(1.0, rate / settings.peers), 0.0, 0) for one, rate in settings.tenant_rates}
