--- a/oatlink/book.py
+++ b/oatlink/book.py
@@ -1,4 +1,4 @@
-"""All that a router remembers, with no logic and no tuned value: the book that each decision is handed.
+"""All that a router remembers, with no decision and no tuned value: the book that each decision is handed.
 
 Only `oatlink.rules` changes it; of each part it is said which of its modules does. Times are integer microseconds.
 """
