--- a/oatlink/rules/arrivals.py
+++ b/oatlink/rules/arrivals.py
@@ -26,6 +26,7 @@
     (checks.check_all if group.checked_us < 0 else checks.check_old)(book, group)  # at first: who they are
     book.worth += 0.05 * (request.worth - book.worth)
     drawn = book.random.random() ** max(request.worth, 0.01) if group.share < 1.0 else 0.0
+    # Threat: a share that is never tried never comes back.
     if drawn > group.share ** book.worth and book.now - group.let_us < book.settings.fall_us:
         holding.give_up(book, request)
     else:  # Threat: a tenant's flood. Past its share it passes nothing that waits, nor is passed by others.
