--- a/review/standins.py
+++ b/review/standins.py
@@ -516,9 +516,11 @@
     return {"Name": name, "Effect": effect, "Gain": gain} | times | usual | more
 
 
-def run_case(play: Callable[[Record, Path], Coroutine[Any, Any, int]], here: Path) -> int:
+def run_case(
+    play: Callable[[Record, Path], Coroutine[Any, Any, int]], here: Path, record_name: str = "record.txt"
+) -> int:
     """Play a case in a temporary folder, write its record, and return its exit code."""
-    record = Record(here / "record.txt")
+    record = Record(here / record_name)
     with tempfile.TemporaryDirectory() as folder:
         try:
             code = asyncio.run(asyncio.wait_for(play(record, Path(folder)), 100))
