A closed client lets go of its callbacks and of all that it had received

Cause: a client and its `Ending` refer to each other (`Ending._on_closed`, `_has_pending_answers` are methods of the client), so that a closed client, with a receive buffer of up to 131 KB, stays until the garbage collector's oldest generation is collected. The collector counts objects, not bytes.

Evidence: with the collector off, each closed client, stream and reader is still in memory, whatever ended it (idle, message cut off, time limit, violation, mistakes: 5 of 5 of each). Ruled out: connections that are still open (30 to 420 at a time, 52 MB at most) and answers (none is owed).

Change: `Ending` releases its callbacks when the connection closes, so that reference counts free the client; a client that is ended or closed discards what it has received at once. `Gateway.run` starts and closes by methods of their own, so that a test can have a gateway in its own process without signals.

--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -328,6 +328,7 @@
         if data:
             self._queue_answer(data)
         self.ending.drain(ignores_input=True)
+        self._reader.clear()
         self._may_read.set()
 
     def drain(self) -> None:
@@ -340,6 +341,7 @@
         self.ending.close()
 
     def _on_closed(self) -> None:
+        self._reader.clear()
         self._may_read.set()
         for command in self._pipeline.clear():
             if isinstance(command, Query):
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -70,6 +70,7 @@
         self._update_room()
         self._clients = Clients(sock, self._max_clients, self, self._turn_clock, self._track_task, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._on_news, self.note)
+        self._sweep_task: asyncio.Task[None] | None = None
         self._ended = asyncio.Event()
         self._reload = Reload(self._apply, self._track_task)
         self._answers = AttemptCounts()  # since the last state line in the log
@@ -83,6 +84,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop)
         signals.unblock()
+        self.start()
+        await self._ended.wait()
+        signals.block()  # until exit: the handlers are removed with the loop, and the interpreter takes a while to exit
+        self.close()
+        LOG.info("ended")
+
+    def start(self) -> None:
+        """Begin to serve."""
         self._load_known_list()
         self._carry_out_all(self._requests.handle(api.Start(), now_us()))
         self._clients.listen()
@@ -96,13 +105,14 @@
             self._config.idle_s,
         )
         LOG.info("ready: %s on %s:%s", self._config.name, *self._clients.address)
-        sweep_task = asyncio.ensure_future(self._sweep())
-        await self._ended.wait()
-        signals.block()  # until exit: the handlers are removed with the loop, and the interpreter takes a while to exit
-        sweep_task.cancel()
+        self._sweep_task = asyncio.ensure_future(self._sweep())
+
+    def close(self) -> None:
+        """End sweeps, calls to discovery and connections to servers."""
+        if self._sweep_task is not None:
+            self._sweep_task.cancel()
         self._discovery.close()
         self._servers.close()
-        LOG.info("ended")
 
     def _track_task(self, task: "asyncio.Future[None]") -> None:
         """Keep a reference to a task, which could be garbage-collected otherwise, and log its exception, if any."""
--- a/oatlink/protocols/buffer.py
+++ b/oatlink/protocols/buffer.py
@@ -45,6 +45,11 @@
                 self.position = 0
         self.data += data
 
+    def clear(self) -> None:
+        """Discard all bytes and free their memory."""
+        self.data = bytearray()
+        self.position = 0
+
     @property
     def pending(self) -> int:
         """The number of bytes not yet consumed."""
--- a/oatlink/protocols/pgwire.py
+++ b/oatlink/protocols/pgwire.py
@@ -101,6 +101,10 @@
         """Add received bytes."""
         self._buffer.feed(data)
 
+    def clear(self) -> None:
+        """Discard the bytes received and not yet taken, and free their memory."""
+        self._buffer.clear()
+
     @property
     def pending(self) -> int:
         """The number of bytes received and not yet taken."""
--- a/oatlink/transport/ending.py
+++ b/oatlink/transport/ending.py
@@ -19,6 +19,8 @@
     """The end of one stream.
 
     `has_pending_answers` tells whether an answer is still to come. `on_closed` is called once, when the stream closes.
+    Both are released then: they usually belong to the object that owns this one, and such a cycle would keep a closed
+    connection, and all that it has received, in memory until the garbage collector runs.
     """
 
     def __init__(self, stream: Stream, has_pending_answers: Callable[[], bool], on_closed: Callable[[], None]) -> None:
@@ -84,4 +86,15 @@
                 self._timer.cancel()
                 self._timer = None
             self._stream.close()
-            self._on_closed()
+            on_closed = self._on_closed
+            self._has_pending_answers, self._on_closed = _has_no_answers, _ignore_close
+            on_closed()
+
+
+def _has_no_answers() -> bool:
+    """Stand in for `has_pending_answers` of a closed connection."""
+    return False
+
+
+def _ignore_close() -> None:
+    """Stand in for `on_closed` of a closed connection."""
--- /dev/null
+++ b/tests/test_freed_connections.py
@@ -0,0 +1,151 @@
+"""What a closed connection held is freed when it closes, not at some later run of the garbage collector.
+
+The collector counts objects, not bytes: a few hundred closed connections in reference cycles are too few objects for a
+run of it, and tens of megabytes. All tests here run with the collector switched off.
+"""
+
+import asyncio
+import contextlib
+import gc
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import pytest
+
+from oatlink.gateway.clock import Stream
+from oatlink.platform import requests
+from oatlink.platform.clients import Client, Query, connection
+from oatlink.platform.config import load
+from oatlink.platform.gateway import Gateway
+from oatlink.platform.jobs import AttemptJob, CheckJob
+from oatlink.platform.servers.connection import Connection
+from oatlink.protocols import pgwire as pg
+from tests.client_world import Peer, query
+from tests.platform_world import Discovery, Server, World
+from tests.scenes import scene
+
+STARTUP = pg.make_startup({"user": "backend", "database": "store"}).encode()
+LONG_TEXT = b"/* " + b"x" * 100_000
+REPEATS = 5
+TRANSFER_TIMEOUT_US = 100_000
+REQUESTS = (Query, requests.Open, requests.Attempt, AttemptJob, CheckJob)
+CONNECTIONS = (Client, Connection, Stream)
+
+
+def unfreed_counts() -> dict[str, int]:
+    """How many closed connections and ended requests there still are in memory, by type."""
+    counts: Counter[str] = Counter()
+    for each in gc.get_objects():
+        is_closed = isinstance(each, CONNECTIONS) and (each.closed() if isinstance(each, Stream) else each.closed)
+        if is_closed or isinstance(each, REQUESTS):
+            counts[type(each).__name__] += 1
+    return dict(counts)
+
+
+class InProcess(World):
+    """A gateway in this process, with its servers and its discovery."""
+
+    gateway: Gateway
+
+    async def start(self) -> None:
+        """Start the gateway."""
+        sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+        sock.setblocking(False)
+        self.gateway = Gateway(load({"GW_CONFIG": str(self.path)}), sock)
+        self.gateway.start()
+        self.address = self.gateway._clients.address
+        await self.wait_until_following()
+
+    async def peer(self, *parts: bytes) -> Peer:
+        """A client after its startup, which has sent `parts`."""
+        peer = Peer(self.address)
+        peer.send(STARTUP)
+        assert await peer.answer() == ""
+        peer.send(*parts)
+        return peer
+
+    async def until_no_client(self) -> None:
+        """Wait until the gateway has no client connection and nothing of them in the loop."""
+        await self.until(lambda: not self.gateway._clients.open_count and not self.gateway._requests._open)
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+    def stop_in_process(self) -> None:
+        """Stop the gateway."""
+        self.gateway._clients.stop()
+        self.gateway.close()
+
+
+@contextlib.asynccontextmanager
+async def gateway_without_collector() -> AsyncIterator[InProcess]:
+    """A gateway in this process whose clients have 0.1 s for a message, with the garbage collector switched off."""
+    with TemporaryDirectory() as folder, pytest.MonkeyPatch.context() as patch:
+        patch.setattr(connection, "TRANSFER_TIMEOUT_US", TRANSFER_TIMEOUT_US)
+        async with Server(True) as primary, Server(False) as replica, Discovery() as discovery:
+            world = InProcess(Path(folder), [primary, replica], discovery)
+            discovery.entries = world.entries()
+            world.write(discovery.address)
+            await world.start()
+            gc.collect()
+            gc.disable()
+            try:
+                yield world
+            finally:
+                gc.enable()
+                world.stop_in_process()
+                gc.collect()
+
+
+async def leave_at_once(world: InProcess) -> None:
+    (await world.peer()).sock.close()
+
+
+async def leave_in_a_message(world: InProcess) -> None:
+    peer = await world.peer(query(LONG_TEXT)[:-9])
+    await asyncio.sleep(0.01)
+    peer.sock.close()
+
+
+async def stop_in_a_message(world: InProcess) -> None:
+    peer = await world.peer(query(LONG_TEXT)[:-9])
+    assert await peer.answer() == "57P05"
+    assert await peer.answer() is None
+    peer.sock.close()
+
+
+async def break_the_protocol(world: InProcess) -> None:
+    peer = await world.peer(query(LONG_TEXT) + b"\xff" * 99)
+    with contextlib.suppress(ConnectionError):
+        await peer.answers()
+    peer.sock.close()
+
+
+async def repeat_a_mistake(world: InProcess) -> None:
+    peer = await world.peer(*[query(b"SELECT 1")] * 9)
+    with contextlib.suppress(ConnectionError):
+        await peer.answers()
+    peer.sock.close()
+
+
+@pytest.mark.parametrize(
+    "visit",
+    [
+        leave_at_once,
+        leave_in_a_message,
+        stop_in_a_message,
+        break_the_protocol,
+        repeat_a_mistake,
+    ],
+)
+@scene(gateway_without_collector)
+async def test_a_closed_connection_and_its_requests_are_freed_without_the_collector(
+    world: InProcess, visit: Callable[[InProcess], Awaitable[None]]
+) -> None:
+    """Guards against a gateway over its memory limit: closed clients kept what they had received (review, case 1)."""
+    for _ in range(REPEATS):
+        await visit(world)
+    await world.until_no_client()
+    assert unfreed_counts() == {}
