An ended request and its attempts are freed when the last of them ends

And the reading task of an idle server connection kept its last job and answer in its local variables; when it ended, its frame and the exception of its last read were a cycle.

Change: a request that is over lets go of its attempts. The task of a server connection holds nothing while it waits: what it read is handled in a method of its own (`_handle_input`).

--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -315,6 +315,7 @@
     def _forget_if_done(self, request: Open) -> None:
         if request.is_closed and not request.running_attempts:
             self._open.pop(request.id, None)
+            request.attempts.clear()  # they refer to the request: the cycle would outlive it with all its client sent
 
 
 class MemberNumbers:
--- a/oatlink/platform/servers/connection.py
+++ b/oatlink/platform/servers/connection.py
@@ -109,32 +109,14 @@
     def _read(self) -> Awaitable[bytes]:
         return self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
 
-    async def _run(self, reading: Awaitable[bytes]) -> None:
-        """Read answers until the connection ends; bytes that come without a job end it."""
+    async def _run(self, reading: Awaitable[bytes] | None) -> None:
+        """Read answers until the connection ends.
+
+        No answer and no job stays referred to while it waits: an idle connection would keep what it last carried.
+        """
         try:
-            while not self.closed:
-                data = await reading
-                if self.job is None:
-                    break
-                answer = self._reader.feed(data)
-                if answer is not None and self._reader.pending:
-                    self._end(answer.outcome, answer)
-                    return
-                at_us = self.stream.arrived_by_us
-                if answer is None:
-                    reading = self._read()
-                    continue
-                # Reads again before the job gets its answer, because the actions that the answer causes may use this
-                # connection, or have to see that it has ended.
-                try:
-                    reading = self._read()
-                except StreamClosedError:
-                    self.close_quietly()
-                job, self.job = self.job, None
-                self._carry_out(self._closing.settle(False, False, at_us))
-                if not self.closed:
-                    self._owner.connection_idle(self)
-                job.ended(answer.outcome, at_us, answer)
+            while reading is not None and not self.closed:
+                reading = self._handle_input(await reading)
         except StreamClosedError:
             answer = self._reader.answer_at_close()
             if answer is not None and self.job is not None:
@@ -142,8 +124,38 @@
         except InvalidReplyError as problem:
             self._owner.note(f"spoilt answer: {problem}")
             self._end(Outcome.ERROR, None)
+        finally:
+            del reading  # the exception of a failed read refers to this frame: the cycle would outlive the connection
         self.close()
 
+    def _handle_input(self, data: bytes) -> Awaitable[bytes] | None:
+        """Handle received bytes and read again; None ends the connection, as bytes without a job do.
+
+        Raises `StreamClosedError` or `InvalidReplyError`.
+        """
+        if self.job is None:
+            return None
+        answer = self._reader.feed(data)
+        if answer is None:
+            return self._read()
+        if self._reader.pending:
+            self._end(answer.outcome, answer)
+            return None
+        at_us = self.stream.arrived_by_us
+        # Reads again before the job gets its answer, because the actions that the answer causes may use this
+        # connection, or have to see that it has ended.
+        reading = None
+        try:
+            reading = self._read()
+        except StreamClosedError:
+            self.close_quietly()
+        job, self.job = self.job, None
+        self._carry_out(self._closing.settle(False, False, at_us))
+        if not self.closed:
+            self._owner.connection_idle(self)
+        job.ended(answer.outcome, at_us, answer)
+        return reading
+
     def _end(self, outcome: Outcome, answer: Answer | None) -> None:
         self.close_quietly()
         job, self.job = self.job, None
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -26,6 +26,7 @@
 from tests.client_world import Peer, query
 from tests.platform_world import Discovery, Server, World
 from tests.scenes import scene
+from tests.test_platform_sockets import read_statement, write_statement
 
 STARTUP = pg.make_startup({"user": "backend", "database": "store"}).encode()
 LONG_TEXT = b"/* " + b"x" * 100_000
@@ -103,6 +104,12 @@
     (await world.peer()).sock.close()
 
 
+async def leave_after_answers(world: InProcess) -> None:
+    peer = await world.peer(query(write_statement()), query(read_statement()))
+    assert [await peer.answer(), await peer.answer()] == ["value of 7f3a"] * 2
+    peer.sock.close()
+
+
 async def leave_in_a_message(world: InProcess) -> None:
     peer = await world.peer(query(LONG_TEXT)[:-9])
     await asyncio.sleep(0.01)
@@ -130,14 +137,43 @@
     peer.sock.close()
 
 
+async def leave_before_an_answer(world: InProcess) -> None:
+    peer = await world.peer(query(write_statement()))
+    while await peer.answer() != "value of 7f3a":  # the primary may be in doubt after the last visit
+        peer.send(query(write_statement()))
+    world.servers[0].mode = ["hang"]
+    peer.send(query(write_statement(wait_ms=300)), query(LONG_TEXT)[:-9])
+    await world.until(lambda: not world.servers[0].mode)
+    peer.sock.close()
+    await world.until_no_client()
+
+
+async def have_a_spoilt_answer(world: InProcess) -> None:
+    world.servers[0].mode = ["noise"]
+    peer = await world.peer(query(write_statement(wait_ms=300)))
+    await peer.answer()
+    peer.sock.close()
+
+
+async def have_a_broken_answer(world: InProcess) -> None:
+    world.servers[0].mode = ["break"]
+    peer = await world.peer(query(write_statement(wait_ms=300)))
+    await peer.answer()
+    peer.sock.close()
+
+
 @pytest.mark.parametrize(
     "visit",
     [
         leave_at_once,
+        leave_after_answers,
         leave_in_a_message,
         stop_in_a_message,
         break_the_protocol,
         repeat_a_mistake,
+        leave_before_an_answer,
+        have_a_spoilt_answer,
+        have_a_broken_answer,
     ],
 )
 @scene(gateway_without_collector)
