A reset connection and a failed call to discovery are freed when they end

Cause: tracebacks. The error of a reset stays on its stream (`BaseIOStream.error`) with a traceback whose frames refer to the stream. h11 raises a peer's error in a method of the error itself, so that error and frame are a cycle that holds the call's connection and body (up to 4 MB a list). `calls.get` kept its error in a local variable of the frame that it names. `timeout_excluding_stalls`, around each dial and each call, had a callback that refers to itself.

Change: a stream lets go of the traceback of its error when it closes; a call lets go of h11's; the reason for a failure is found in a function of its own; the callback of a timeout does not refer to itself.

--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -134,6 +134,16 @@
         poll.register(self.fileno(), getattr(select, "POLLRDHUP", 0))
         return bool(poll.poll(0))
 
+    def close(self, exc_info: Any = False) -> None:
+        """See `BaseIOStream.close`.
+
+        The traceback of `error` is released: its frames refer to the stream, and such a cycle would keep a connection
+        that was reset, and all that it has received, in memory until the garbage collector runs.
+        """
+        super().close(exc_info)
+        if self.error is not None:
+            self.error.__traceback__ = None
+
     def write_to_fd(self, data: memoryview) -> int:
         """See `BaseIOStream.write_to_fd`."""
         sent = super().write_to_fd(data)
@@ -164,15 +174,18 @@
         deadline = loop.time() + seconds
         timer: asyncio.TimerHandle
 
-        def on_deadline(may_extend: bool) -> None:
+        def expire() -> None:
+            timeout.reschedule(loop.time())
+
+        def on_deadline() -> None:  # does not refer to itself: such a cycle would outlive the timeout
             nonlocal timer
             late_s = loop.time() - deadline
-            if may_extend and late_s > LATE_TIMER_S:
-                timer = loop.call_later(min(late_s, seconds), on_deadline, False)
+            if late_s > LATE_TIMER_S:
+                timer = loop.call_later(min(late_s, seconds), expire)
             else:
-                timeout.reschedule(loop.time())
+                expire()
 
-        timer = loop.call_at(deadline, on_deadline, True)
+        timer = loop.call_at(deadline, on_deadline)
         try:
             yield
         finally:
--- a/oatlink/platform/discovery/calls.py
+++ b/oatlink/platform/discovery/calls.py
@@ -47,15 +47,21 @@
     except TimeoutError:
         raise CallError("no whole answer in time") from None
     except h11.ProtocolError as problem:
+        problem.__traceback__ = None  # h11 raises it in a method of its own, whose frame and the error are a cycle
         raise CallError(f"answer: {problem}") from None
     except OSError as problem:
-        cause = (stream.error if stream is not None else None) or problem
-        raise CallError(str(cause) or type(cause).__name__) from None
+        raise CallError(_reason(stream, problem)) from None
     finally:
         if stream is not None:
             stream.close()
 
 
+def _reason(stream: Stream | None, problem: OSError) -> str:
+    """Why a call failed: the error of its socket, if there is one."""
+    cause = (stream.error if stream is not None else None) or problem
+    return str(cause) or type(cause).__name__
+
+
 async def _exchange(stream: Stream, host_header: str, path: str) -> bytes:
     """Send the request and read the answer. Raises `CallError`, `h11.ProtocolError` or `StreamClosedError`."""
     http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_PARTIAL_HEAD_BYTES)
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -8,23 +8,26 @@
 import contextlib
 import gc
 import socket
+import struct
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+import h11
 import pytest
 
-from oatlink.gateway.clock import Stream
+from oatlink.gateway.clock import Stream, TurnClock
 from oatlink.platform import requests
 from oatlink.platform.clients import Client, Query, connection
 from oatlink.platform.config import load
+from oatlink.platform.discovery import calls
 from oatlink.platform.gateway import Gateway
 from oatlink.platform.jobs import AttemptJob, CheckJob
 from oatlink.platform.servers.connection import Connection
 from oatlink.protocols import pgwire as pg
 from tests.client_world import Peer, query
-from tests.platform_world import Discovery, Server, World
+from tests.platform_world import Discovery, Server, World, run_scenario
 from tests.scenes import scene
 from tests.test_platform_sockets import read_statement, write_statement
 
@@ -116,6 +119,12 @@
     peer.sock.close()
 
 
+async def reset_in_a_message(world: InProcess) -> None:
+    peer = await world.peer(query(LONG_TEXT)[:-9])
+    await asyncio.sleep(0.01)
+    peer.reset()
+
+
 async def stop_in_a_message(world: InProcess) -> None:
     peer = await world.peer(query(LONG_TEXT)[:-9])
     assert await peer.answer() == "57P05"
@@ -168,6 +177,7 @@
         leave_at_once,
         leave_after_answers,
         leave_in_a_message,
+        reset_in_a_message,
         stop_in_a_message,
         break_the_protocol,
         repeat_a_mistake,
@@ -185,3 +195,46 @@
         await visit(world)
     await world.until_no_client()
     assert unfreed_counts() == {}
+
+
+HALF_A_LIST = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 500_000
+
+
+@pytest.mark.parametrize("answer", [b"", b"\xff" * 99 + b"\r\n\r\n", HALF_A_LIST])
+@pytest.mark.parametrize("ending", ["close", "reset", "hang"])
+def test_a_failed_call_to_discovery_is_freed_without_the_collector(answer: bytes, ending: str) -> None:
+    """Guards against growth while discovery fails: each call kept its connection, and its half of a list."""
+    ended, failures = asyncio.Event(), list[str]()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        if ending == "hang":
+            await ended.wait()
+        elif ending == "reset":
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.close()
+
+    async def check() -> None:
+        async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            address = server.sockets[0].getsockname()
+            for _ in range(REPEATS):
+                try:  # `pytest.raises` would keep the traceback, and with it what the call refers to
+                    await calls.get(address, "/v1/endpoints", 0.3, 0.3, TurnClock())
+                except calls.CallError:
+                    failures.append(ending)
+            kinds = (Stream, h11.Connection, asyncio.Timeout)
+            assert len(failures) == REPEATS
+            await asyncio.sleep(0.01)  # callbacks that the loop still has to run
+            assert [type(each) for each in gc.get_objects() if isinstance(each, kinds)] == []
+            ended.set()
+
+    gc.collect()
+    gc.disable()
+    try:
+        run_scenario(check())
+    finally:
+        gc.enable()
+        gc.collect()
