Idle connections keep nothing of what they have carried

An idle client, link or server connection kept its longest message until the next one came: consumed bytes stayed in the receive buffer (131 KB at the platform's gateway, up to 64 MB at the RESP gateway's limits), and the last read (16 to 262 KB) in a local variable of the waiting task. A link that ended with an invalid reply stayed in memory, since the error's traceback refers to the frame that kept it.

Change: a reader frees its buffer when the last byte is consumed, in place of at the next read; tasks hand what they read on without keeping it; `_process_replies` lets go of its error.

--- a/oatlink/gateway/clients.py
+++ b/oatlink/gateway/clients.py
@@ -95,9 +95,9 @@
     """Read and discard until the connection has ended; bytes that come before its last answer are not counted."""
     with contextlib.suppress(StreamClosedError):
         while True:
-            data = await stream.read_bytes(READ_CHUNK_BYTES, partial=True)
+            size = len(await stream.read_bytes(READ_CHUNK_BYTES, partial=True))
             if ending.discards:
-                ending.discard(len(data))
+                ending.discard(size)
 
 
 def accept_queued(sock: socket.socket, accept: Callable[[socket.socket, object], None]) -> None:
--- a/oatlink/gateway/links/connection.py
+++ b/oatlink/gateway/links/connection.py
@@ -147,8 +147,7 @@
         how = "reset"
         try:
             while True:
-                data = await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-                self.reader.feed(data)
+                self.reader.feed(await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
                 with self._reports.batch():
                     self._process_replies()
         except ProtocolError:
@@ -176,7 +175,10 @@
         if more_announced:  # further replies were announced, and none of them ended a request
             self._reports.no_more_replies()
         if problem is not None:
-            raise problem
+            try:
+                raise problem
+            finally:
+                del problem  # its traceback refers to this frame: the cycle would outlive the connection
 
     def _process_reply(self, frame: bytes, has_next: bool, more_announced: bool) -> bool:
         """Process one reply. Returns whether the engine was notified that more replies follow."""
--- a/oatlink/gateway/reading.py
+++ b/oatlink/gateway/reading.py
@@ -44,6 +44,7 @@
             arrived_us = turn_us = client.pause_began_us  # it was not read during the pause; when it came is not known
         await gateway.turn_clock.admit_client()
         reader.feed(data)
+        del data  # an idle client would keep it
         while True:
             # Prevents a pipeline from being refused for its own length. A command waits for its client's earlier ones
             # because the client chose so; only the delay of the first of them is this process's. The time limits of
--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -126,18 +126,20 @@
                     self._may_read.clear()
                     await self._may_read.wait()
                 self._is_read_blocked = False
-                data = await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-                if self.ending.discards:
-                    self.ending.discard(len(data))
-                else:
-                    self._reader.feed(data)
-                    self._arrival_times.add(len(data), self.stream.arrived_by_us)
-                    self.step()
+                self._handle_input(await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
         except StreamClosedError:
             pass
         finally:
             self.close()
 
+    def _handle_input(self, data: bytes) -> None:
+        if self.ending.discards:
+            self.ending.discard(len(data))
+        else:
+            self._reader.feed(data)
+            self._arrival_times.add(len(data), self.stream.arrived_by_us)
+            self.step()
+
     def _is_busy(self) -> bool:
         """Whether the next message has to wait."""
         return not self.ending.discards and (
--- a/oatlink/protocols/buffer.py
+++ b/oatlink/protocols/buffer.py
@@ -35,16 +35,23 @@
         self.position = 0  # index of the first byte that is not yet consumed
 
     def feed(self, data: bytes) -> None:
-        """Append bytes, after releasing consumed ones where that is cheap or they are many."""
-        if self.position:
-            if self.position == len(self.data):
-                self.data.clear()
-                self.position = 0
-            elif self.position > COPY_ONCE_BYTES:
-                del self.data[: self.position]
-                self.position = 0
+        """Append bytes, after releasing consumed ones if they are many."""
+        if self.position > COPY_ONCE_BYTES:
+            del self.data[: self.position]
+            self.position = 0
         self.data += data
 
+    def consume(self, end: int) -> None:
+        """Consume the bytes before index `end`, and free them all if none is left.
+
+        Prevents an idle connection from keeping the longest message that it has ever carried.
+        """
+        if end == len(self.data):
+            self.data.clear()
+            self.position = 0
+        else:
+            self.position = end
+
     def clear(self) -> None:
         """Discard all bytes and free their memory."""
         self.data = bytearray()
--- a/oatlink/protocols/pgwire.py
+++ b/oatlink/protocols/pgwire.py
@@ -135,7 +135,7 @@
         if buffer.pending < type_size + length:
             return None
         message = Message(kind, buffer.copy(start + type_size + 4, start + type_size + length))
-        buffer.position = start + type_size + length
+        buffer.consume(start + type_size + length)
         return message
 
     def _check_kind(self, kind: bytes) -> None:
--- a/oatlink/protocols/resp.py
+++ b/oatlink/protocols/resp.py
@@ -240,7 +240,7 @@
         while True:
             if self._arguments_left == 0:
                 if position >= size:
-                    buffer.position = position
+                    buffer.consume(position)
                     return None
                 if data[position] != 0x2A:  # '*'
                     buffer.position = position
@@ -406,8 +406,9 @@
             return None
         end = start + self._scanned_bytes
         self._scanned_bytes = 0
-        buffer.position = end
-        return buffer.copy(start, end)
+        reply = buffer.copy(start, end)
+        buffer.consume(end)
+        return reply
 
     def _scan_reply(self) -> bool:
         """Advance over the bytes received; return whether a complete reply was reached."""
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -9,15 +9,21 @@
 import gc
 import socket
 import struct
+import sys
+import weakref
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from types import SimpleNamespace
+from typing import Any
 
 import h11
 import pytest
 
+from oatlink.gateway import clients as gateway_clients
 from oatlink.gateway.clock import Stream, TurnClock
+from oatlink.gateway.links.connection import Connection as LinkConnection
 from oatlink.platform import requests
 from oatlink.platform.clients import Client, Query, connection
 from oatlink.platform.config import load
@@ -26,7 +32,9 @@
 from oatlink.platform.jobs import AttemptJob, CheckJob
 from oatlink.platform.servers.connection import Connection
 from oatlink.protocols import pgwire as pg
+from oatlink.protocols import resp
 from tests.client_world import Peer, query
+from tests.gateways import Served, served
 from tests.platform_world import Discovery, Server, World, run_scenario
 from tests.scenes import scene
 from tests.test_platform_sockets import read_statement, write_statement
@@ -238,3 +246,90 @@
     finally:
         gc.enable()
         gc.collect()
+
+
+MAX_KEPT_BYTES = 1_000
+
+
+def kept_bytes() -> int:
+    """The size of the largest byte string that a waiting task of a gateway refers to."""
+    sizes = [0]
+    for task in asyncio.all_tasks():
+        coroutine: Any = task.get_coro()
+        while (frame := getattr(coroutine, "cr_frame", None)) is not None:
+            if "/oatlink/" in frame.f_code.co_filename:
+                sizes += [len(each) for each in frame.f_locals.values() if isinstance(each, bytes | bytearray)]
+            coroutine = coroutine.cr_await
+    return max(sizes)
+
+
+@pytest.mark.parametrize(
+    ("reader", "message"),
+    [
+        (pg.backend_reader(), pg.make_row((LONG_TEXT,)).encode()),
+        (resp.CommandReader(), resp.command("SET", "a", LONG_TEXT)),
+        (resp.ReplyReader(), resp.bulk(LONG_TEXT)),
+    ],
+)
+def test_a_reader_keeps_nothing_of_a_message_that_was_taken(reader: Any, message: bytes) -> None:
+    """Guards against growth by idle connections: each kept the longest message that it had ever carried."""
+    for cut in (len(message), len(message) - 9):
+        reader.feed(message[:cut])
+        reader.feed(message[cut:])
+        assert reader.take() and reader.take() is None
+        assert sys.getsizeof(reader._buffer.data) < MAX_KEPT_BYTES
+
+
+@scene(gateway_without_collector)
+async def test_an_idle_client_and_its_servers_keep_nothing_that_they_have_carried(world: InProcess) -> None:
+    peer = await world.peer(query(write_statement().replace(b"9f03", b"9f" * 50_000)))
+    assert await peer.answer() == "value of 7f3a"
+    assert kept_bytes() < MAX_KEPT_BYTES
+
+
+@scene(served, 1)
+async def test_an_idle_resp_client_and_its_links_keep_nothing_that_they_have_carried(world: Served) -> None:
+    client = await world.wire()
+    while await client.ask("SET", "a", "x" * len(LONG_TEXT)) != resp.Simple(b"OK"):
+        await asyncio.sleep(0.05)
+    assert await client.ask("GET", "a") == b"x" * len(LONG_TEXT)
+    assert kept_bytes() < MAX_KEPT_BYTES
+
+
+@pytest.mark.parametrize("last", [b"", resp.command("SET", "a", "x")[:-9], b"*1\r\n:5\r\n", resp.command("QUIT")])
+@scene(served, 1)
+async def test_a_closed_resp_client_is_freed_without_the_collector(world: Served, last: bytes) -> None:
+    """Guards the RESP gateway against the growth of review, case 1."""
+    gc.collect()
+    gc.disable()
+    try:
+        for _ in range(REPEATS):
+            client = await world.wire()
+            client.writer.write(resp.command("PING") + last)
+            await client.reply()
+            client.writer.close()
+        while world.gateway._clients or world.gateway._ending:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)  # callbacks that the loop still has to run
+        closed = [each for each in gc.get_objects() if isinstance(each, gateway_clients.Client | Stream)]
+        assert [each for each in closed if (each if isinstance(each, Stream) else each.stream).closed()] == []
+    finally:
+        gc.enable()
+
+
+def test_a_link_with_an_invalid_reply_is_freed_without_the_collector() -> None:
+    reports = SimpleNamespace(now=lambda: 0, batch=contextlib.nullcontext)
+    owner: Any = SimpleNamespace(limits=resp.Limits(), reports=reports)
+    stream: Any = SimpleNamespace()
+    gc.collect()
+    gc.disable()
+    try:
+        link = LinkConnection(owner, stream, 2, "")
+        link.reader.feed(b"+OK\r\n" + LONG_TEXT)
+        with contextlib.suppress(resp.ProtocolError):
+            link._process_replies()
+        freed = weakref.ref(link)
+        del link
+        assert freed() is None
+    finally:
+        gc.enable()
