A client's messages take turns with other clients, whoever answers them

Cause: `Client.step` ended its turn of the event loop only after a query that was submitted. Messages that the gateway answers itself (empty queries, SET, RESET, DISCARD, Sync, refusals, requests for encryption) and those that it skips after a mistake were all handled in one turn, for each connection that the poll had found, each answer by a system call of its own: 300 times 14 ms.

Evidence: a ticker beside 100 clients with 900 messages each (one process, uvloop): the loop stood still for 2,241 ms (empty), 2,558 (Sync), 2,857 (SET), 694 (skipped), 2,229 (encryption), and for 26 ms with 900 queries, which did take turns. Ruled out: writing (no client was behind) and servers (none is asked).

Change: a client handles 16 messages, or up to a query, and asks for another turn for the rest; its answers of one turn go out in one write. `transport/turns.py` gives the turns in order, for 5 ms of a turn of the loop, so that hundreds of clients do not add up either; who finds time left is not delayed. A client that waits for its turn is not read. A turn is no longer scheduled where nothing is received.

--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -19,11 +19,13 @@
 from oatlink.protocols.buffer import Limits, ProtocolError
 from oatlink.transport.closing import State
 from oatlink.transport.ending import Ending
+from oatlink.transport.turns import InputTurns
 
 READ_CHUNK_BYTES = 16_384
 SILENT_TIMEOUT_US = 2_500_000  # a connection that has sent no request this long after its accept is closed
 TRANSFER_TIMEOUT_US = 2_000_000  # for one message to be received whole, or one answer to be taken by the client
 DRAIN_TIMEOUT_US = 300_000  # for the rest of a message that was partly received when the drain began
+MAX_MESSAGES_PER_TURN = 16  # of one client that are handled at once; others have their turn before it goes on
 MAX_MISTAKES = 4  # statements that cannot be parsed, per connection; then it is closed
 MISTAKE_PAUSE_S = 0.05  # times the count of mistakes, so that a client that repeats one takes no time from others
 LIMITS = Limits(message_bytes=MAX_QUERY_BYTES)
@@ -81,8 +83,8 @@
 class Client:
     """One client connection, from its accept to its end."""
 
-    def __init__(self, stream: Stream, handler: QueryHandler, owner: ClientOwner) -> None:
-        self.stream, self._handler, self._owner = stream, handler, owner
+    def __init__(self, stream: Stream, handler: QueryHandler, owner: ClientOwner, input_turns: InputTurns) -> None:
+        self.stream, self._handler, self._owner, self._input_turns = stream, handler, owner, input_turns
         self.ending = Ending(stream, self._has_pending_answers, self._on_closed)
         self._reader = pg.frontend_reader(LIMITS)
         self._is_started = False
@@ -97,8 +99,8 @@
         self._mistake_count = 0
         self._is_paused = False
         self._skips_until_sync = False  # after a mistake in the extended protocol
-        self._is_read_blocked = False  # the read buffer behind unanswered queries is full
-        self._is_step_scheduled = False  # for the next turn of the loop
+        self._is_read_blocked = False  # nothing is read, so a close of the client may lie behind unread input
+        self._is_turn_due = False  # it has asked for its turn to handle messages
         self._may_read = asyncio.Event()
 
     @property
@@ -120,8 +122,7 @@
         """Read until the connection ends, including input that is discarded after our side has been shut down."""
         try:
             while True:
-                # While no message may be parsed, reading goes on to notice a close, but only up to about one message.
-                while self._reader.pending > MAX_QUERY_BYTES and self._is_busy():
+                while self._has_enough_input():
                     self._is_read_blocked = True
                     self._may_read.clear()
                     await self._may_read.wait()
@@ -132,13 +133,23 @@
         finally:
             self.close()
 
+    def _has_enough_input(self) -> bool:
+        """Whether reading has to wait: messages are to be handled first.
+
+        While no message may be handled, reading goes on to notice a close, but only up to about one message.
+        """
+        pending = self._reader.pending
+        return pending > 0 and (
+            (self._is_turn_due and not self.ending.discards) or (pending > MAX_QUERY_BYTES and self._is_busy())
+        )
+
     def _handle_input(self, data: bytes) -> None:
         if self.ending.discards:
             self.ending.discard(len(data))
         else:
             self._reader.feed(data)
             self._arrival_times.add(len(data), self.stream.arrived_by_us)
-            self.step()
+            self._request_turn()
 
     def _is_busy(self) -> bool:
         """Whether the next message has to wait."""
@@ -153,26 +164,43 @@
         return self._is_paused or self._reader.pending > 0 or not self.stream.is_idle()
 
     def step(self) -> None:
-        """Handle received messages as far as limits allow, up to a query; the next turn of the loop continues after it.
+        """Handle received messages as far as limits allow; a later turn goes on after a query or many messages.
 
         The next query waits until the last answer is handed to the socket, so a client that reads none of its answers
-        holds only one of them in memory. A client that sends hundreds of queries at once takes turns with all others.
+        holds only one of them in memory. A client that sends hundreds of messages at once, whether they are queries or
+        answered here, takes turns with all others.
         """
         try:
-            while not (self._is_step_scheduled or self._is_busy() or self.ending.discards):
-                message = self._reader.take()
-                if message is None:
-                    break
-                self._incomplete_since_us = 0
-                self._handle_message(message)
+            is_complete = self._handle_messages()
         except ProtocolError as error:
             self.end(pg.refusal(error).encode())
-        if self._reader.pending and not self._is_busy():
-            self._incomplete_since_us = self._incomplete_since_us or now_us()
-        self._may_read.set()
+            is_complete = True
+        self._flush()
+        if not self._is_turn_due and self._reader.pending and not self._is_busy():
+            if is_complete:
+                self._incomplete_since_us = self._incomplete_since_us or now_us()
+            else:
+                self._schedule_turn()
+        if not self._has_enough_input():
+            self._may_read.set()
         if not self.ending.accepts_requests:
             self.ending.settle()
 
+    def _handle_messages(self) -> bool:
+        """Handle a limited number of messages, up to a query. Returns whether no whole message is left.
+
+        Raises `ProtocolError`.
+        """
+        for _ in range(MAX_MESSAGES_PER_TURN):
+            if self._is_turn_due or self._is_busy() or self.ending.discards:
+                return False
+            message = self._reader.take()
+            if message is None:
+                return True
+            self._incomplete_since_us = 0
+            self._handle_message(message)
+        return False
+
     def _handle_message(self, message: pg.Message) -> None:
         if not self._is_started:
             self._start(message)
@@ -196,11 +224,11 @@
             case pg.Startup():
                 self._is_started = True
                 self._reader.end_startup()
-                self.write(answers.GREETING)
+                self._queue_answer(answers.GREETING)
             case pg.Cancel():
                 self.end(b"")
             case _:
-                self.write(answers.SSL_DECLINED)
+                self._queue_answer(answers.SSL_DECLINED)
 
     def _handle_query(self, text: bytes) -> None:
         words = text.split(None, 1)
@@ -211,6 +239,7 @@
         elif not self.ending.accepts_requests:
             self._queue_answer(answers.refusal(0))  # the client may retry at once on another connection
         elif self.stream.closed() or (self._is_read_blocked and self.stream.peer_has_ended()):
+            self._flush()
             self.close()  # what the client sent before it left must not be submitted
         else:
             try:
@@ -222,7 +251,8 @@
             expedited = self._pipeline.add(query)
             if isinstance(expedited, Query):
                 self._handler.expedite_query(expedited)
-            self._schedule_step()
+            if self._reader.pending:
+                self._schedule_turn()
             self._submit(query)
 
     def _submit(self, query: Query) -> None:
@@ -255,23 +285,28 @@
 
     def _resume(self) -> None:
         self._is_paused = False
-        self.step()
-
-    def _schedule_step(self) -> None:
-        """Handle the next message in a turn of its own: an answer may trigger the next query, and so on."""
-        if not self._is_step_scheduled:
-            self._is_step_scheduled = True
-            asyncio.get_running_loop().call_soon(self._run_scheduled_step)
-
-    def _run_scheduled_step(self) -> None:
-        self._is_step_scheduled = False
+        self._request_turn()
+
+    def _request_turn(self) -> None:
+        """Handle messages now, or in a later turn of the loop if this one has handled enough input of clients."""
+        if not self._is_turn_due:
+            self._is_turn_due = True
+            self._input_turns.run(self._take_turn)
+
+    def _schedule_turn(self) -> None:
+        """Handle the next message in a later turn of the loop: an answer may trigger the next query, and so on."""
+        if not self._is_turn_due:
+            self._is_turn_due = True
+            self._input_turns.run_later(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_due = False
         if not self.closed:
             self.step()
 
     def _queue_answer(self, data: bytes) -> None:
-        """Send an answer of our own, after the answers of earlier queries."""
+        """Add an answer of our own, after the answers of earlier queries; it is sent at the end of this step."""
         self._pipeline.add_answer(data)
-        self._flush()
 
     def _flush(self) -> None:
         """Write the answers whose turn it is.
@@ -298,8 +333,8 @@
         for command in released:
             if isinstance(command, Query):
                 self._submit(command)
-        if not self.closed:
-            self._schedule_step()
+        if not self.closed and (self._reader.pending or not self.ending.accepts_requests):
+            self._schedule_turn()
 
     def write(self, data: bytes) -> None:
         """Write; the connection is closed if the client left or took too little of what was written before."""
@@ -321,7 +356,7 @@
         elif not self.stream.writing():
             self._unsent_since_us = 0
             self._flush()
-            self.step()
+            self._request_turn()
 
     def end(self, data: bytes) -> None:
         """Send a last answer and end the connection; further input is discarded."""
@@ -329,6 +364,7 @@
             return
         if data:
             self._queue_answer(data)
+            self._flush()
         self.ending.drain(ignores_input=True)
         self._reader.clear()
         self._may_read.set()
--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -11,6 +11,7 @@
 from oatlink.gateway.clock import Stream, TurnClock, now_us
 from oatlink.platform.clients import answers
 from oatlink.platform.clients.connection import READ_CHUNK_BYTES, Client, QueryHandler
+from oatlink.transport.turns import InputTurns
 
 MAX_UNSENT_BYTES = 262_144  # of answers that a client has not taken
 SEARCH_PAUSE_US = 20_000  # until the next search for a connection to close, after a search that found none
@@ -37,6 +38,7 @@
     ) -> None:
         self._sock, self._handler, self._turn_clock, self._note = sock, handler, turn_clock, note
         self._track_task = track_task
+        self._input_turns = InputTurns(turn_clock)
         self._max_ending = max(2, max_descriptors // DESCRIPTORS_PER_ENDING)
         self._max_active = max_descriptors - self._max_ending
         self.active: dict[Client, None] = {}  # in the order of their accepts
@@ -79,7 +81,7 @@
             read_chunk_size=READ_CHUNK_BYTES,
         )
         stream.set_nodelay(True)
-        client = Client(stream, self._handler, self)
+        client = Client(stream, self._handler, self, self._input_turns)
         self.active[client] = None
         self._track_task(asyncio.ensure_future(client.run()))
         return client
--- a/oatlink/platform/clients/pipeline.py
+++ b/oatlink/platform/clients/pipeline.py
@@ -131,7 +131,7 @@
     def has_capacity(self) -> bool:
         """Whether another command may be added."""
         limits = self._limits
-        return not self._queue or (
+        return not self.unanswered or (
             len(self._queue) < limits.per_connection and self._waiting_bytes < MAX_WAITING_BYTES and not limits.is_full
         )
 
--- /dev/null
+++ b/oatlink/transport/turns.py
@@ -0,0 +1,69 @@
+"""Shares the time of the event loop between the input of clients and everything else.
+
+One turn of the loop handles whatever its poll has found. Without a limit, all input of hundreds of clients that send at
+full speed would be handled in the same turn, and answers of servers, timers and deadlines would wait for that.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from oatlink.gateway.clock import TurnClock, now_us
+
+INPUT_TIME_PER_TURN_US = 5_000
+
+
+class InputTurns:
+    """Gives the clients that have input to handle their turns, one after the other.
+
+    In one turn of the loop their input is handled for `INPUT_TIME_PER_TURN_US`, and at least one of them has its turn;
+    the others wait, in the order in which they asked. A client limits what it handles each time and asks again for the
+    rest, so one that has sent much waits for all others in between.
+    """
+
+    def __init__(self, turn_clock: TurnClock) -> None:
+        self._turn_clock = turn_clock
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._is_scheduled = False
+        self._turn_began_us = 0  # of the turn in which `_used_us` was used
+        self._used_us = 0
+
+    def run(self, handle_input: Callable[[], None]) -> None:
+        """Handle the input of a client now if this turn has time left and nobody waits, otherwise in its order."""
+        if self._waiting or not self._has_time():
+            self.run_later(handle_input)
+        else:
+            self._run(handle_input)
+
+    def run_later(self, handle_input: Callable[[], None]) -> None:
+        """Handle the input of a client in a later turn of the loop."""
+        self._waiting.append(handle_input)
+        self._schedule()
+
+    def _has_time(self) -> bool:
+        turn_began_us = self._turn_clock.turn_began_us()
+        if turn_began_us != self._turn_began_us:
+            self._turn_began_us, self._used_us = turn_began_us, 0
+        return self._used_us < INPUT_TIME_PER_TURN_US
+
+    def _run(self, handle_input: Callable[[], None]) -> None:
+        began_us = now_us()
+        handle_input()
+        self._used_us += now_us() - began_us
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_waiting)
+
+    def _run_waiting(self) -> None:
+        """Give those that wait their turn as far as time allows; who asks meanwhile waits for the next turn."""
+        self._is_scheduled = False
+        try:
+            for _ in range(len(self._waiting)):
+                if not self._has_time():
+                    break
+                self._run(self._waiting.popleft())
+        finally:
+            if self._waiting:
+                self._schedule()
