RESP: floods of empty commands and of many clients leave time for everything else

One read of empty commands (blank lines, `*0`), up to 131,072 of them, was skipped in one piece; and each of up to 64 clients in a turn carried out up to 64 commands.

Change: a reader skips at most 64 empty commands a call, which count as one command of the client's 64; clients that are admitted to a turn share its time by `InputTurns`, as at the platform's gateway.

--- a/oatlink/gateway/links/gateway_interface.py
+++ b/oatlink/gateway/links/gateway_interface.py
@@ -8,6 +8,7 @@
 
 from oatlink.core import messages as m
 from oatlink.gateway.clock import TurnClock
+from oatlink.transport.turns import InputTurns
 
 
 class Flushable(Protocol):
@@ -22,6 +23,7 @@
 
     now: Callable[[], int]
     turn_clock: TurnClock
+    input_turns: InputTurns
 
     def feed(self, event: m.AnyInput, /) -> None:
         """Hand an input to the engine."""
--- a/oatlink/gateway/server.py
+++ b/oatlink/gateway/server.py
@@ -30,6 +30,7 @@
 from oatlink.protocols.resp import Limits, ProtocolError, error
 from oatlink.settings.model import Settings
 from oatlink.transport.ending import LINGER_S, Ending
+from oatlink.transport.turns import InputTurns
 
 MIN_SLEPT_US = 10_000  # smaller differences are the inaccuracy of reading two clocks
 MAX_ENDING_CONNECTIONS = 256  # connections that have had their last answer; beyond this, the oldest are closed at once
@@ -50,6 +51,7 @@
         self.settings = settings
         self.now = now_us
         self.turn_clock = TurnClock()
+        self.input_turns = InputTurns(self.turn_clock)
         self.notes = notes or Notes(settings.logs)
         began_us = now_us()
         self.engine = start_engine(settings, began_us, lambda text: self.notes.note("snapshot", text))
--- a/oatlink/protocols/resp.py
+++ b/oatlink/protocols/resp.py
@@ -215,9 +215,11 @@
     After `take` has raised `ProtocolError` the reader cannot continue; the connection must be closed.
     """
 
-    def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
+    def __init__(self, limits: Limits = DEFAULT_LIMITS, max_skipped_count: int = 0) -> None:
+        """`max_skipped_count`: empty commands that one `take` skips; 0 is no limit."""
         self._buffer = Buffer(limits)
         self._limits = limits
+        self._max_skipped_count = max_skipped_count
         self._arguments_left = 0  # arguments of the current array that are still to come
         self._bulk_length = -1  # length of the current bulk string; -1: its header is still to come
         self._args: list[bytes] = []
@@ -233,12 +235,19 @@
         return self._buffer.pending + self._args_bytes
 
     def take(self) -> list[bytes] | None:
-        """Return the next complete command, or None if more bytes are needed."""
+        """Return the next complete command, or None if more bytes are needed.
+
+        Empty commands, which have no answer, are skipped. An empty list says that as many were skipped as one call may.
+        """
         buffer = self._buffer
         data, position = buffer.data, buffer.position
         size = len(data)
+        skipped_count = 0
         while True:
             if self._arguments_left == 0:
+                if skipped_count and skipped_count == self._max_skipped_count:
+                    buffer.position = position
+                    return []
                 if position >= size:
                     buffer.consume(position)
                     return None
@@ -248,6 +257,7 @@
                     if words is None or words:
                         return words
                     position = buffer.position
+                    skipped_count += 1
                     continue
                 end = data.find(CRLF, position, position + MAX_HEADER_BYTES)
                 if end < 0:
@@ -259,6 +269,7 @@
                     raise ProtocolError("ERR Protocol error: invalid multibulk length")
                 position = end + 2
                 if count <= 0:
+                    skipped_count += 1
                     continue
                 self._arguments_left, self._args, self._args_bytes = count, [], 0
             if self._bulk_length < 0:
--- a/oatlink/transport/turns.py
+++ b/oatlink/transport/turns.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from oatlink.gateway.clock import TurnClock, now_us
 
@@ -40,6 +41,15 @@
         self._waiting.append(handle_input)
         self._schedule()
 
+    async def wait_until_handled(self, handle_input: Callable[[], None]) -> None:
+        """Handle the input of a client as `run` does, and wait until that is done. Raises what it raises."""
+        if not self._waiting and self._has_time():
+            self._run(handle_input)
+            return
+        handled: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.run_later(partial(_resolve, handled, handle_input))
+        await handled
+
     def _has_time(self) -> bool:
         turn_began_us = self._turn_clock.turn_began_us()
         if turn_began_us != self._turn_began_us:
@@ -67,3 +77,15 @@
         finally:
             if self._waiting:
                 self._schedule()
+
+
+def _resolve(handled: "asyncio.Future[None]", handle_input: Callable[[], None]) -> None:
+    """Handle the input of a client that waits for it, unless it has left meanwhile."""
+    if handled.done():
+        return
+    try:
+        handle_input()
+    except Exception as problem:
+        handled.set_exception(problem)
+    else:
+        handled.set_result(None)
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -6,13 +6,17 @@
 
 import pytest
 
+from oatlink.gateway import reading
 from oatlink.gateway.clock import TurnClock
+from oatlink.gateway.reading import MAX_COMMANDS_PER_TURN, MAX_SKIPPED_COMMANDS
 from oatlink.platform.clients import Client
 from oatlink.platform.clients.connection import MAX_MESSAGES_PER_TURN
 from oatlink.protocols import pgwire as pg
+from oatlink.protocols import resp
 from oatlink.transport import turns
 from oatlink.transport.turns import INPUT_TIME_PER_TURN_US, InputTurns
 from tests.client_world import STARTUP, ListenerWorld, listener_world, query
+from tests.gateways import Served, served
 from tests.platform_world import run_scenario
 from tests.scenes import scene
 
@@ -116,3 +120,73 @@
         assert handled == [1]
 
     run_scenario(check())
+
+
+@pytest.mark.parametrize(
+    ("command", "most_in_a_turn"),
+    [
+        (resp.command("PING"), MAX_COMMANDS_PER_TURN),
+        (b"\r\n", MAX_COMMANDS_PER_TURN * MAX_SKIPPED_COMMANDS),
+        (b"*0\r\n", MAX_COMMANDS_PER_TURN * MAX_SKIPPED_COMMANDS),
+    ],
+)
+@scene(served, 1)
+async def test_resp_clients_that_flood_at_once_share_the_time_of_a_turn(
+    world: Served, command: bytes, most_in_a_turn: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the RESP gateway against the loop of review, case 2; here each turn has time for one client only."""
+    consumed_bytes = most_consumed_bytes = 0
+
+    class CountingReader(resp.CommandReader):
+        def take(self) -> list[bytes] | None:
+            nonlocal consumed_bytes
+            before = self.pending
+            args = super().take()
+            consumed_bytes += before - self.pending
+            return args
+
+    def end_turn() -> None:
+        nonlocal consumed_bytes, most_consumed_bytes
+        most_consumed_bytes, consumed_bytes = max(most_consumed_bytes, consumed_bytes), 0
+        asyncio.get_running_loop().call_soon(end_turn)
+
+    monkeypatch.setattr(turns, "INPUT_TIME_PER_TURN_US", 1)
+    monkeypatch.setattr(reading, "CommandReader", CountingReader)
+    clients = [await world.wire() for _ in range(10)]
+    for client in clients:
+        assert await client.ask("PING") == resp.Simple(b"PONG")
+    end_turn()
+    for client in clients:
+        client.writer.write(command * 20_000)
+        client.writer.write(resp.command("ECHO", "last"))
+    for client in clients:
+        while await client.reply() != b"last":
+            pass
+    assert most_consumed_bytes <= most_in_a_turn * len(command)
+
+
+def test_a_client_waits_for_its_turn_and_has_its_failure_there(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail() -> None:
+        raise ZeroDivisionError
+
+    async def check() -> None:
+        input_turns, handled = InputTurns(TurnClock()), list[int]()
+        input_turns.run_later(partial(handled.append, 1))
+        with pytest.raises(ZeroDivisionError):
+            await input_turns.wait_until_handled(fail)
+        assert handled == [1], "it waited for the one before it"
+        input_turns.run_later(partial(handled.append, 2))
+        await input_turns.wait_until_handled(partial(handled.append, 3))
+        assert handled == [1, 2, 3]
+        monkeypatch.setattr(turns, "INPUT_TIME_PER_TURN_US", 1)
+        await input_turns.wait_until_handled(partial(handled.append, 4))
+        leaving = asyncio.ensure_future(input_turns.wait_until_handled(partial(handled.append, 5)))
+
+        def leave() -> None:
+            leaving.cancel()
+
+        input_turns.run_later(leave)
+        await asyncio.sleep(0.01)
+        assert handled == [1, 2, 3, 4] and leaving.cancelled(), "nothing is handled for a client that has left"
+
+    run_scenario(check())
