A list does not make a member primary that has told that it is none

Cause: a miss on a write makes the role unknown and forgot what was told; a check that then brings no role (a load report that can't be read) took the role from discovery's list (`adopt_listed_role`), which names a new primary seconds late.

Change: `Member.denied_primary_us` survives whatever makes the role unknown; `adopt_listed_role` does not count a list that still names the member as primary after it has denied that, until the member tells that it is, a list names it anew, or `ask_within_us` has passed.

--- a/oatlink/core/snapshot.py
+++ b/oatlink/core/snapshot.py
@@ -21,7 +21,7 @@
 from oatlink import __version__
 from oatlink.core import positions
 from oatlink.core.engine import Engine
-from oatlink.core.stored_names import ENUMS, RECORDS, ROUTER, engine_names
+from oatlink.core.stored_names import ENUMS, LATER_ATTRIBUTES, RECORDS, ROUTER, engine_names
 from oatlink.router_state import RouterState
 from oatlink.settings.load import settings_hash
 from oatlink.settings.model import Settings
@@ -92,6 +92,9 @@
         values = [(field, getattr(value, field)) for field in _ATTRIBUTES[kind]]
         if self._field_filter is not None:
             values = [(field, self._field_filter(kind, field, item)) for field, item in values]
+        defaults = LATER_ATTRIBUTES.get(kind, {})
+        while defaults and values[-1] in defaults.items():
+            values.pop()
         return ["i", number, name, [self.encode(item) for _, item in values]]
 
 
--- a/oatlink/core/stored_names.py
+++ b/oatlink/core/stored_names.py
@@ -81,6 +81,7 @@
             "answer_rate",
             "answer_rate_us",
             "tokens_us",
+            "denied_primary_us",
         ),
     ),
     "oatlink.state.Group": (
@@ -405,6 +406,9 @@
 }
 """Outer name of a record: its class, and its attributes in the order in which their values are written."""
 
+LATER_ATTRIBUTES: dict[type, dict[str, object]] = {state.Member: {"denied_primary_us": state.LONG_AGO}}
+"""Last attributes of a record, and their defaults, that earlier files do not have: left out while they are default."""
+
 ENUMS: dict[str, type[Enum]] = {
     "oatlink.interface.Effect": api.Effect,
     "oatlink.interface.Freshness": api.Freshness,
--- a/oatlink/rules/outcomes.py
+++ b/oatlink/rules/outcomes.py
@@ -84,7 +84,10 @@
     elif event.outcome is Outcome.MISS or event.outcome is Outcome.ERROR and member.role is not Role.PRIMARY:
         request = state.requests.get(event.request)
         if request is not None and request.request_class.freshness is Freshness.WRITE:
-            primaries.mark_unknown(state, member)
+            if event.outcome is Outcome.MISS:
+                primaries.record_denial(state, member)
+            else:
+                primaries.mark_unknown(state, member)
             checks.check(state, member)
 
 
--- a/oatlink/rules/primaries.py
+++ b/oatlink/rules/primaries.py
@@ -3,6 +3,7 @@
 from oatlink.interface import Effect, Log, Report, Role
 from oatlink.router_state import Member, RouterState
 from oatlink.rules import checks, queueing, sweeps
+from oatlink.state import LONG_AGO
 
 
 def record_report(state: RouterState, member: Member, report: Report | None, is_current: bool) -> None:
@@ -25,6 +26,7 @@
         if group.primary == member.entry.member:
             group.primary, group.primary_lost_us = None, state.now_us
         member.role, member.role_us = Role.REPLICA, max(member.role_us, true_us)
+        member.denied_primary_us = state.now_us
 
 
 def _record_claim(state: RouterState, member: Member, true_us: int) -> None:
@@ -41,18 +43,34 @@
             return
         current.role, group.primary = Role.UNKNOWN, None
         checks.check(state, current)
-    member.role, member.role_us = Role.PRIMARY, true_us
+    member.role, member.role_us, member.denied_primary_us = Role.PRIMARY, true_us, LONG_AGO
     if group.primary is None and not member.is_draining:
         group.primary, group.primary_known_us = member.entry.member, state.now_us
         state.actions.append(Log(f"group {group.id}: primary is {group.primary}"))
 
 
 def adopt_listed_role(state: RouterState, member: Member) -> None:
-    """Use the role that discovery lists, where members don't report theirs, until an answer shows another."""
-    if member.entry.primary:
-        _record_claim(state, member, member.role_us)
-    else:
+    """Use the role that discovery lists, where members don't report theirs, until an answer shows another.
+
+    Lists name a new primary late: one that still names a member as primary after it has denied that is older
+    than the denial and does not count, until it must be newer or names the member anew.
+    """
+    if not member.entry.primary:
         member.role = Role.REPLICA
+    elif state.now_us - member.denied_primary_us > state.settings.ask_within_us:
+        _record_claim(state, member, member.role_us)
+
+
+def record_listing(member: Member, is_listed_as_primary: bool) -> None:
+    """Note a member's listing: if it is named as primary anew, what it denied before does not count."""
+    if is_listed_as_primary and not member.entry.primary:
+        member.denied_primary_us = LONG_AGO
+
+
+def record_denial(state: RouterState, member: Member) -> None:
+    """Record that a member has turned a write away because it is no primary."""
+    member.denied_primary_us = state.now_us
+    mark_unknown(state, member)
 
 
 def mark_unknown(state: RouterState, member: Member) -> None:
--- a/oatlink/rules/roster.py
+++ b/oatlink/rules/roster.py
@@ -55,6 +55,7 @@
         position = state.round_robin_position - state.random.random() * (len(group.members) + 1)
         limit = max(1.0, INITIAL_LIMIT_ATTEMPTS / state.settings.peers)
         member = Member(entry, position, state.random.random(), limit, INITIAL_CHECK_COST_US)
+    primaries.record_listing(member, entry.primary)
     member.entry = entry
     state.members[entry.member] = group.members[entry.member] = member
     if entry.started_us > member.started_us:
--- a/oatlink/state.py
+++ b/oatlink/state.py
@@ -106,6 +106,7 @@
     answer_rate: float = 0.0  # answers a second, at `answer_rate_us`
     answer_rate_us: int = 0
     tokens_us: int = 0
+    denied_primary_us: int = LONG_AGO  # its last report says that it is no primary
 
 
 @dataclass(slots=True)
