At a shutdown each request has its answer before the process may be killed

Cause: `_shut_down` waits for each request's own deadline (price-post: 5 s), and what lies behind it on its connection waits too.

Change: at SIGTERM the deadline of every request, open or yet to come, is bounded by the earliest SIGKILL less 0.2 s (`Requests.end_by`). A request that is ended by that is no defect of the Router.

--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -37,6 +37,8 @@
 SERVER_DESCRIPTOR_SHARE = 0.45  # of the other descriptors; the rest are for clients
 ANSWER_MEMORY_SHARE = 0.125  # of the memory: for answers that wait for earlier ones on their connections
 SHUTDOWN_GRACE_S = 0.7  # time after SIGTERM in which connections and requests are still accepted
+MAX_AWAITED_DEADLINE_US = 3_000_000  # of requests, at a shutdown: SIGKILL may come this long after the grace
+SHUTDOWN_MARGIN_US = 200_000  # before the earliest SIGKILL: this process may be held up for a part of it
 
 
 class Gateway:
@@ -178,11 +180,14 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, lambda: None)
+        longest_us = min(MAX_AWAITED_DEADLINE_US, max(rule.deadline_us for rule in self._classes.values()))
+        self._requests.end_by(now_us() + round(SHUTDOWN_GRACE_S * 1e6) + longest_us - SHUTDOWN_MARGIN_US)
+        self._set_deadline()
         self._track_task(asyncio.ensure_future(self._shut_down()))
 
     async def _shut_down(self) -> None:
         await asyncio.sleep(SHUTDOWN_GRACE_S)
-        # This loop ends because each request is answered by its deadline.
+        # This loop ends because each request is answered by its deadline, which `end_by` bounds.
         while self._clients.open_count or len(self._requests):
             self._clients.stop()
             await asyncio.sleep(0.02)
--- a/oatlink/platform/requests.py
+++ b/oatlink/platform/requests.py
@@ -15,6 +15,7 @@
 from oatlink import interface as api
 from oatlink.interface import Outcome, Report
 from oatlink.platform.statement import Statement
+from oatlink.state import NEVER
 
 
 class RouterInterface(Protocol):
@@ -122,6 +123,7 @@
         self._by_client_id: dict[bytes, Open] = {}
         self._deadlines: list[tuple[int, str]] = []
         self._arrival_count = 0
+        self._last_us = NEVER  # the latest deadline that a request may have
         self._events: deque[api.Event] = deque()
         self._actions: list[GatewayAction] = []
 
@@ -137,6 +139,7 @@
     ) -> tuple[Open, list[GatewayAction]]:
         """Open a request whose client waits for another `left_us`."""
         self._arrival_count += 1
+        left_us = min(left_us, self._last_us - now_us)
         request = Open(str(self._arrival_count), statement, owner, now_us + left_us)
         self._open[request.id] = request
         self._by_client_id[statement.id] = request
@@ -162,6 +165,12 @@
             request.expires_us -= by_us
             heapq.heappush(self._deadlines, (request.expires_us, request.id))
 
+    def end_by(self, last_us: int) -> None:
+        """Give each request, open or yet to come, its final answer by `last_us`, whatever its own deadline."""
+        self._last_us = last_us
+        for request in self._open.values():
+            self.shorten_deadline(request, max(0, request.expires_us - last_us))
+
     def handle_departure(self, request: Open, now_us: int) -> list[GatewayAction]:
         """Close a request whose client has left.
 
@@ -233,9 +242,9 @@
                 outcome = Outcome.LATE if attempt.is_written else Outcome.WITHDRAWN
                 actions += self.handle_attempt_end(attempt, outcome, now_us, now_us)
             if not request.is_closed:
-                self._actions.append(
-                    Defect(f"class {request.statement.request_class.name}: unanswered at its deadline")
-                )
+                if request.expires_us < self._last_us:
+                    name = request.statement.request_class.name
+                    self._actions.append(Defect(f"class {name}: unanswered at its deadline"))
                 self._answer(request, FAILED)
                 actions += self.handle(api.Departure(request.id), now_us)
             self._forget_if_done(request)
