The platform's gateway in smaller modules: budget, timers, clock, shutdown, state line, queries

Change: `budget.py` divides descriptors and memory; `timer.py` is the one timer that can be moved; `unix_clock.py` converts Unix times, for both kinds of reports (`Answer.report`); `shutdown.py` has the times of a planned restart; `state_line.py` the members of the log's line; `clients/query.py` a query and what executes it. Behaviour as before. The comment on the collector in start.py says what it is still for.

--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -12,9 +12,10 @@
 
 from oatlink.gateway.clock import Stream, now_us
 from oatlink.platform.clients import answers
-from oatlink.platform.clients.pipeline import ArrivalTimes, Command, Pipeline, PipelineLimits
+from oatlink.platform.clients.pipeline import ArrivalTimes, Pipeline
+from oatlink.platform.clients.query import Query, QueryHandler
 from oatlink.platform.requests import Final
-from oatlink.platform.statement import MAX_QUERY_BYTES, Statement, StatementError
+from oatlink.platform.statement import MAX_QUERY_BYTES, StatementError
 from oatlink.protocols import pgwire as pg
 from oatlink.protocols.buffer import Limits, ProtocolError
 from oatlink.transport.closing import State
@@ -32,31 +33,6 @@
 LOCAL_COMMANDS = frozenset((b"SET", b"RESET", b"DISCARD"))  # answered here, since connections have no session state
 
 
-class QueryHandler(Protocol):
-    """Parses and executes queries."""
-
-    def parse_query(self, text: bytes) -> Statement:
-        """Parse a query's text. Raises `StatementError`."""
-        ...
-
-    def submit_query(self, query: "Query") -> None:
-        """Execute a query; it is answered once, at once or later. Raises `StatementError` if it cannot be executed."""
-        ...
-
-    def expedite_query(self, query: "Query") -> None:
-        """Answer a query earlier, by its `early_us`, since other queries of its connection now wait behind it."""
-        ...
-
-    def abandon_query(self, query: "Query") -> None:
-        """Handle that the client of an unanswered query has left or was disconnected."""
-        ...
-
-    @property
-    def pipeline_limits(self) -> PipelineLimits:
-        """How many queries connections may have open."""
-        ...
-
-
 class ClientOwner(Protocol):
     """Keeps the list of connections."""
 
@@ -65,21 +41,6 @@
         ...
 
 
-class Query(Command):
-    """A query of a client, from its last byte to its answer."""
-
-    __slots__ = ("client", "statement")
-
-    def __init__(self, client: "Client", statement: Statement, arrived_us: int) -> None:
-        resources = (b"name " + statement.session.encode(), b"key " + statement.key if statement.key else b"")
-        super().__init__(arrived_us, tuple(filter(None, resources)), statement.is_write)
-        self.client, self.statement = client, statement
-
-    def answered(self, final: Final) -> None:
-        """See `requests.Owner`."""
-        self.client.answered(self, final)
-
-
 class Client:
     """One client connection, from its accept to its end."""
 
--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -10,7 +10,8 @@
 
 from oatlink.gateway.clock import Stream, TurnClock, now_us
 from oatlink.platform.clients import answers
-from oatlink.platform.clients.connection import READ_CHUNK_BYTES, Client, QueryHandler
+from oatlink.platform.clients.connection import READ_CHUNK_BYTES, Client
+from oatlink.platform.clients.query import QueryHandler
 from oatlink.transport.turns import InputTurns
 
 MAX_UNSENT_BYTES = 262_144  # of answers that a client has not taken
--- a/oatlink/platform/discovery/lists.py
+++ b/oatlink/platform/discovery/lists.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from oatlink.interface import Listing, RosterKind
+from oatlink.interface import Listing, RosterEntry, RosterKind
 
 LISTING_BY_STATE = {"in_service": Listing.READY, "terminating": Listing.TERMINATING, "terminated": Listing.GONE}
 
@@ -54,6 +54,10 @@
     primary: bool
     started_ms: float
 
+    def entry(self, number: int, started_us: int) -> RosterEntry:
+        """The Router's entry for this server, with its local number and its start on the Router's clock."""
+        return RosterEntry(number, self.group, self.zone, self.kind, self.listing, self.primary, started_us)
+
 
 @dataclass(frozen=True, slots=True)
 class News:
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -8,18 +8,17 @@
 import logging
 import signal
 import socket
-import time
 from collections import deque
 from dataclasses import replace
 
 from oatlink import interface as api
 from oatlink.gateway.clock import TurnClock, now_us
 from oatlink.interface import Outcome, Report, RosterKind
-from oatlink.member_status import member_status
 from oatlink.platform import discovery as disco
 from oatlink.platform import requests as req
-from oatlink.platform import signals
+from oatlink.platform import shutdown, signals
 from oatlink.platform.answers_seen import AttemptCounts
+from oatlink.platform.budget import Budget
 from oatlink.platform.clients import Clients, PipelineLimits, Query
 from oatlink.platform.config import Config
 from oatlink.platform.discovery import Discovery, News
@@ -27,18 +26,15 @@
 from oatlink.platform.reload import Reload
 from oatlink.platform.reply import Answer, parse_load_report
 from oatlink.platform.servers import Bounds, Servers
-from oatlink.platform.statement import MAX_VALUE_BYTES, Statement, StatementError, parse
+from oatlink.platform.state_line import summarize_members
+from oatlink.platform.statement import Statement, StatementError, parse
+from oatlink.platform.timer import Timer
+from oatlink.platform.unix_clock import UnixClock
 from oatlink.rules import Router
 
 LOG = logging.getLogger("oatlink.platform")
 SWEEP_S = 0.1
 STATE_LOG_INTERVAL_S = 10  # between log lines with the gateway's state
-RESERVED_DESCRIPTORS = 24  # for the log, the event loop, the listener, signals and calls to discovery
-SERVER_DESCRIPTOR_SHARE = 0.45  # of the other descriptors; the rest are for clients
-ANSWER_MEMORY_SHARE = 0.125  # of the memory: for answers that wait for earlier ones on their connections
-SHUTDOWN_GRACE_S = 0.7  # time after SIGTERM in which connections and requests are still accepted
-MAX_AWAITED_DEADLINE_US = 3_000_000  # of requests, at a shutdown: SIGKILL may come this long after the grace
-SHUTDOWN_MARGIN_US = 200_000  # before the earliest SIGKILL: this process may be held up for a part of it
 
 
 class Gateway:
@@ -46,7 +42,7 @@
 
     def __init__(self, config: Config, sock: socket.socket) -> None:
         self._config = config
-        self._unix_offset_us = time.time_ns() // 1000 - now_us()
+        self._unix_clock = UnixClock()
         self._tasks: set[asyncio.Future[None]] = set()
         self._turn_clock = TurnClock()
         self._classes = {rule.name: rule for rule in config.settings.classes}
@@ -60,17 +56,16 @@
         self._requests_by_query: dict[Query, req.Open] = {}
         self._sending: dict[int, AttemptJob] = {}
         self._checks: dict[int, CheckJob] = {}
-        self._deadline_us: int | None = None
-        self._deadline_timer: asyncio.TimerHandle | None = None
-        self._router_timer: asyncio.TimerHandle | None = None
-        available = config.limits.sockets - RESERVED_DESCRIPTORS
-        max_server_connections = round(available * SERVER_DESCRIPTOR_SHARE)
-        bounds = Bounds(config.dial_s, config.idle_s, max_server_connections)
+        self._deadline_timer = Timer(self._expire)  # for the earliest deadline of an open request
+        self._router_timer = Timer(self._router_timer_fired)
+        self._router_timer_set = api.SetTimer("", 0)  # last, to an earlier time or once it had fired
+        self._budget = Budget.of(config.limits)
+        bounds = Bounds(config.dial_s, config.idle_s, self._budget.server_connections)
         self._servers = Servers(bounds, self._turn_clock, self.note, self._track_task)
-        self._max_clients = available - max_server_connections
         self.pipeline_limits = PipelineLimits(0, 0)
-        self._update_room()
-        self._clients = Clients(sock, self._max_clients, self, self._turn_clock, self._track_task, self.note)
+        self._budget.update_pipeline(self.pipeline_limits, config.settings.max_open)
+        max_clients = self._budget.client_connections
+        self._clients = Clients(sock, max_clients, self, self._turn_clock, self._track_task, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._on_news, self.note)
         self._sweep_task: asyncio.Task[None] | None = None
         self._ended = asyncio.Event()
@@ -97,15 +92,9 @@
         self._load_known_list()
         self._carry_out_all(self._requests.handle(api.Start(), now_us()))
         self._clients.listen()
-        limits = self._config.limits
-        LOG.info(
-            "limits: %d descriptors, %g MB, %g cores; dial %g s, idle %g s",
-            limits.sockets,
-            limits.memory_mb,
-            limits.cores,
-            self._config.dial_s,
-            self._config.idle_s,
-        )
+        config, limits = self._config, self._config.limits
+        times = f"dial {config.dial_s:g} s, idle {config.idle_s:g} s"
+        LOG.info("limits: %d descriptors, %g MB, %g cores; %s", limits.sockets, limits.memory_mb, limits.cores, times)
         LOG.info("ready: %s on %s:%s", self._config.name, *self._clients.address)
         self._sweep_task = asyncio.ensure_future(self._sweep())
 
@@ -145,20 +134,9 @@
                 LOG.exception("fault")
 
     def _log_state(self) -> None:
-        """Log the gateway's state: for each member its role, running attempts and concurrency limit; `?` marks doubt.
-
-        Members with nothing open are only counted, because writing a line with thousands of names would block the loop.
-        """
-        members = []
-        for pool in self._servers.active:
-            number = pool.number
-            status = member_status(self._router, number)
-            if status is not None:
-                role = "P" if status.is_primary else status.role.value[0]
-                doubt = "?" if status.is_in_doubt else ""
-                members.append(
-                    f"{self._numbers.name_of(number)}:{role}{doubt} {status.outstanding}/{status.concurrency_limit:.1f}"
-                )
+        """Log the gateway's state. Members with nothing open are only counted."""
+        in_use = [pool.number for pool in self._servers.active]
+        members = summarize_members(self._router, self._numbers, in_use)
         LOG.info(
             "state: %s; requests %d, clients %d (%d idle), to servers %d; %s, %d more",
             self._answers.take_summary(),
@@ -180,17 +158,16 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, lambda: None)
-        longest_us = min(MAX_AWAITED_DEADLINE_US, max(rule.deadline_us for rule in self._classes.values()))
-        self._requests.end_by(now_us() + round(SHUTDOWN_GRACE_S * 1e6) + longest_us - SHUTDOWN_MARGIN_US)
+        self._requests.end_by(shutdown.last_answer_us(now_us(), self._classes.values()))
         self._set_deadline()
         self._track_task(asyncio.ensure_future(self._shut_down()))
 
     async def _shut_down(self) -> None:
-        await asyncio.sleep(SHUTDOWN_GRACE_S)
+        await asyncio.sleep(shutdown.GRACE_S)
         # This loop ends because each request is answered by its deadline, which `end_by` bounds.
         while self._clients.open_count or len(self._requests):
             self._clients.stop()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(shutdown.POLL_S)
         self._ended.set()
 
     def _apply(self, config: Config) -> None:
@@ -203,7 +180,7 @@
         self._config = replace(config, name=old.name, listen=old.listen, limits=old.limits)
         self._router.configure(config.settings)
         self._classes = {rule.name: rule for rule in config.settings.classes}
-        self._update_room()
+        self._budget.update_pipeline(self.pipeline_limits, config.settings.max_open)
         self._servers.bounds = replace(self._servers.bounds, dial_s=config.dial_s, idle_s=config.idle_s)
         self._discovery.wait(config.watch_s)
         if config.discovery != self._discovery.address:
@@ -212,29 +189,6 @@
             # list of changes resets them. The call that is now in progress brings news or counts as a first failure.
             self._carry_out_all(self._requests.handle(api.Roster(RosterKind.CHANGES), now_us()))
 
-    def _update_room(self) -> None:
-        """Set how many requests client connections may have open.
-
-        Each connection may have its share of the gateway's limit. The memory for answers, if it is limited, bounds the
-        requests of all connections beyond the first of each.
-        """
-        max_open = self._config.settings.max_open
-        memory_bytes = self._config.limits.memory_mb * 1024 * 1024 * ANSWER_MEMORY_SHARE
-        self.pipeline_limits.per_connection = max(1, max_open // self._max_clients)
-        self.pipeline_limits.shared = round(memory_bytes / MAX_VALUE_BYTES) if memory_bytes else max_open
-
-    # ---- Clock ----
-
-    def _to_clock_us(self, unix_us: float) -> int:
-        """Convert a Unix time to the Router's clock, which is this process's monotonic clock."""
-        return max(1, round(unix_us) - self._unix_offset_us)
-
-    def _report_on_clock(self, report: Report | None) -> Report | None:
-        """Convert a report's position from Unix time to the Router's clock."""
-        if report is None or report.position_us is None:
-            return report
-        return Report(self._to_clock_us(report.position_us), report.role)
-
     # ---- Discovery ----
 
     def _load_known_list(self) -> None:
@@ -260,10 +214,8 @@
             if server.listing is not api.Listing.GONE:
                 self._servers.set_address(number, server.address)
                 self._groups.add(server.group)
-            started_us = self._to_clock_us(server.started_ms * 1000) if server.started_ms else 0
-            entry = api.RosterEntry(
-                number, server.group, server.zone, server.kind, server.listing, server.primary, started_us
-            )
+            started_us = self._unix_clock.to_clock_us(server.started_ms * 1000) if server.started_ms else 0
+            entry = server.entry(number, started_us)
             self._entries[number] = entry
             entries.append(entry)
         unread = (self._numbers.number_for(name) for name in news.unread)
@@ -307,7 +259,7 @@
         left_us = statement.wait_ms * 1000 - max(0, at_us - query.arrived_us) - query.early_us
         since_us = None
         if statement.after_ms:
-            since_us = max(0, at_us - self._to_clock_us(statement.after_ms * 1000))
+            since_us = max(0, at_us - self._unix_clock.to_clock_us(statement.after_ms * 1000))
         request, actions = self._requests.handle_arrival(statement, query, left_us, at_us, since_us)
         if not request.is_closed:
             self._requests_by_query[query] = request
@@ -348,9 +300,7 @@
         self._sending.pop(id(sent.attempt), None)
         report: Report | None = None
         if answer is not None:
-            position_ms = answer.position_ms()
-            if position_ms is not None or answer.role() is not api.Role.UNKNOWN:
-                report = Report(None if position_ms is None else self._to_clock_us(position_ms * 1000), answer.role())
+            report = self._unix_clock.report_on_clock(answer.report())
             if answer.sqlstate == "08P01":
                 LOG.error("defect: a server rejected a statement as a protocol violation")
         payload = answer.payload if answer is not None else b""
@@ -367,7 +317,8 @@
             return
         if self._checks.get(check.member) is check:
             del self._checks[check.member]
-        report = self._report_on_clock(parse_load_report(answer.value)) if answer is not None and answer.value else None
+        report = parse_load_report(answer.value) if answer is not None and answer.value else None
+        report = self._unix_clock.report_on_clock(report)
         event = api.Checked(check.member, outcome, max(0, at_us - check.started_us), report)
         self._carry_out_all(self._requests.handle(event, now_us()))
 
@@ -416,7 +367,8 @@
             case api.FetchRoster():
                 self._discovery.fetch()
             case api.SetTimer():
-                self._set_timer(action)
+                self._router_timer_set = action
+                self._router_timer.set(action.at_us)
             case api.Log():
                 LOG.info("%s", action.text)
             case req.Defect():
@@ -431,28 +383,14 @@
         else:
             pool.launch(check)
 
-    def _set_timer(self, timer: api.SetTimer) -> None:
-        """Set the Router's only timer. The Router sets it again only to an earlier time or after it has fired."""
-        if self._router_timer is not None:
-            self._router_timer.cancel()
-        wait_s = max(0.0, (timer.at_us - now_us()) / 1e6)
-        self._router_timer = asyncio.get_running_loop().call_later(wait_s, self._router_timer_fired, timer)
-
-    def _router_timer_fired(self, timer: api.SetTimer) -> None:
+    def _router_timer_fired(self) -> None:
+        timer = self._router_timer_set
         self._carry_out_all(self._requests.handle(api.TimerFired(timer.name), max(now_us(), timer.at_us)))
 
     def _set_deadline(self) -> None:
-        """Keep one timer for the earliest deadline of an open request."""
         at_us = self._requests.next_deadline_us()
-        if at_us == self._deadline_us:
-            return
-        if self._deadline_timer is not None:
-            self._deadline_timer.cancel()
-        self._deadline_us, self._deadline_timer = at_us, None
-        if at_us is not None:
-            wait_s = max(0.0, (at_us - now_us()) / 1e6)
-            self._deadline_timer = asyncio.get_running_loop().call_later(wait_s, self._expire)
+        if at_us != self._deadline_timer.at_us:
+            self._deadline_timer.set(at_us)
 
     def _expire(self) -> None:
-        self._deadline_us = self._deadline_timer = None
         self._carry_out_all(self._requests.expire(now_us()))
--- a/oatlink/platform/reply.py
+++ b/oatlink/platform/reply.py
@@ -42,6 +42,13 @@
             return None
         return int(text) if 0 < int(text) < MAX_POSITION_MS else None
 
+    def report(self) -> Report | None:
+        """The position, in Unix microseconds, and the role that came with the answer; None if neither did."""
+        position_ms, role = self.position_ms(), self.role()
+        if position_ms is None and role is Role.UNKNOWN:
+            return None
+        return Report(None if position_ms is None else position_ms * 1000, role)
+
     def role(self) -> Role:
         """The role that the server reported."""
         return {"off": Role.PRIMARY, "on": Role.REPLICA}.get(self.parameters.get("recovery", ""), Role.UNKNOWN)
--- a/oatlink/platform/start.py
+++ b/oatlink/platform/start.py
@@ -47,9 +47,10 @@
     except OSError as problem:
         print(f"oatlink: listen: {problem.strerror}", file=sys.stderr)
         return 2
-    # Closed connections are reference cycles. The garbage collector scans its oldest generation only once that has
-    # grown by a quarter, so closed connections would pile up while a quarter of all imported objects is a large number.
-    # Freezing the imported objects keeps that quarter small; the second collection resets the collector's count.
+    # Connections and requests are freed by reference counts; this bounds what any other cycles hold. The garbage
+    # collector scans its oldest generation only once that has grown by a quarter, so cycles would pile up while a
+    # quarter of all imported objects is a large number. Freezing the imported objects keeps that quarter small; the
+    # second collection resets the collector's count.
     gc.collect()
     gc.freeze()
     gc.collect()
