How late lists name a primary does not follow from how often they are asked for

Need: found while reading the platform's configuration.

Change: a constant of its own, `LISTED_ROLE_MAX_DELAY_US`, 10 s.

Measured: the new test in tests/test_listed_roles.py failed with `ask_within_us` in its place; all 11 pass.

--- a/oatlink/rules/parameters.py
+++ b/oatlink/rules/parameters.py
@@ -5,6 +5,7 @@
 
 HEARTBEAT_US = 10_000_000  # the design's default; what a member has shown counts for about this long
 PENDING_CHECK_US = 500_000  # the design's interval of checks while a group has no primary
+LISTED_ROLE_MAX_DELAY_US = 10_000_000  # until discovery's list names a new primary
 # Up to this many routers may each have an attempt outstanding, and keep the design's heartbeat.
 FEW_PEERS_COUNT = 4
 
--- a/oatlink/rules/primaries.py
+++ b/oatlink/rules/primaries.py
@@ -2,7 +2,7 @@
 
 from oatlink.interface import Effect, Log, Report, Role
 from oatlink.router_state import Member, RouterState
-from oatlink.rules import checks, queueing, sweeps
+from oatlink.rules import checks, parameters, queueing, sweeps
 from oatlink.state import LONG_AGO
 
 
@@ -57,7 +57,7 @@
     """
     if not member.entry.primary:
         member.role = Role.REPLICA
-    elif state.now_us - member.denied_primary_us > state.settings.ask_within_us:
+    elif state.now_us - member.denied_primary_us > parameters.LISTED_ROLE_MAX_DELAY_US:
         _record_claim(state, member, member.role_us)
 
 
--- a/tests/test_listed_roles.py
+++ b/tests/test_listed_roles.py
@@ -5,15 +5,16 @@
 from oatlink import interface as api
 from oatlink.core.snapshot import _Reader, _Writer
 from oatlink.interface import Outcome, Role
+from oatlink.rules.parameters import LISTED_ROLE_MAX_DELAY_US
 from tests.conftest import Driver, member, only_send, sends
 
 DENIALS = [None, api.Report(None, Role.REPLICA)]
 NO_ROLE = [None, api.Report(None, Role.UNKNOWN)]
 
 
-def driver_with_listed_primary() -> Driver:
+def driver_with_listed_primary(**changes: object) -> Driver:
     """Member 1 is listed as primary, and was."""
-    driver = Driver()
+    driver = Driver(**changes)
     driver.roster(member(1, primary=True), member(2), member(3))
     driver.arrive("any")
     for number, role in ((2, Role.REPLICA), (3, Role.REPLICA), (1, Role.PRIMARY)):
@@ -58,6 +59,14 @@
     assert not sends(answer_check_without_role(driver, report))
 
 
+def test_how_often_lists_are_asked_for_does_not_say_how_late_they_name_a_primary() -> None:
+    driver = driver_with_listed_primary(ask_within_us=250_000, must_ask_roster=True)
+    deny(driver, None)
+    driver.wait(LISTED_ROLE_MAX_DELAY_US // 2)
+    driver.arrive("check", expires=1_500_000)
+    assert not sends(answer_check_without_role(driver, None))
+
+
 def test_a_list_that_names_a_member_as_primary_anew_counts_again() -> None:
     driver = driver_with_listed_primary()
     deny(driver, None)
@@ -69,7 +78,7 @@
 def test_a_list_counts_again_once_it_must_be_newer_than_the_denial() -> None:
     driver = driver_with_listed_primary()
     deny(driver, None)
-    driver.wait(driver.router.state.settings.ask_within_us + 1)
+    driver.wait(LISTED_ROLE_MAX_DELAY_US + 1)
     send = driver.arrive("submit", expires=2_000_000)
     assert not sends(send)
     assert {each.member for each in sends(answer_check_without_role(driver, None))} == {1}
