Where lists are pushed a new process serves by discovery's first answer

Cause: `Gateway.run` served at once by the list of the configuration file, `known`.

Change: where the settings say that lists are pushed, a process listens once discovery has answered its first call or that has failed (discovery down: the old list serves, as before). Until then the socket is bound and connections are refused, so that no request waits unread.

--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -14,6 +14,7 @@
 from oatlink.platform.clients.query import QueryHandler
 from oatlink.transport.turns import InputTurns
 
+BACKLOG = 512  # connections that wait in the kernel
 MAX_UNSENT_BYTES = 262_144  # of answers that a client has not taken
 SEARCH_PAUSE_US = 20_000  # until the next search for a connection to close, after a search that found none
 MIN_IDLE_US = 2_000_000  # a connection that is idle for less is not closed
@@ -44,13 +45,15 @@
         self._max_active = max_descriptors - self._max_ending
         self.active: dict[Client, None] = {}  # in the order of their accepts
         self._ending: dict[Client, None] = {}  # in the order in which they began to end
-        self.stopping = False
+        self._is_listening = self.stopping = False
         self._turned_away_count = 0  # since the last sweep
         self._search_paused_until_us = 0
         self.address: tuple[str, int] = sock.getsockname()[:2]
 
     def listen(self) -> None:
-        """Accept connections from now on."""
+        """Accept connections from now on; until then they are refused."""
+        self._sock.listen(BACKLOG)
+        self._is_listening = True
         asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept)
 
     def _accept(self, max_count: int = ACCEPTS_PER_TURN) -> bool:
@@ -177,7 +180,7 @@
     def stop(self) -> None:
         """Accept no more connections, and end each one once everything received on it is answered."""
         if not self.stopping:
-            while self._accept():  # connections that wait in the kernel would be reset when the listener closes
+            while self._is_listening and self._accept():  # those in the kernel would be reset when the listener closes
                 pass
             self.stopping = True
             asyncio.get_running_loop().remove_reader(self._sock.fileno())
--- a/oatlink/platform/config.py
+++ b/oatlink/platform/config.py
@@ -72,6 +72,7 @@
     watch_s: float  # how long a watch call may wait; short enough to notice a silent break before `NOTIFIED_US`
     dial_s: float
     idle_s: float
+    is_list_pushed: bool = False  # the platform's agent has the newest list, and the gateway counts as notified of it
 
 
 def with_polled_roster(settings: Settings, options: Options) -> Settings:
@@ -116,7 +117,9 @@
     try:
         file = msgspec.json.decode(text, type=ConfigFile)
         seed = int(file.seed, 16) if isinstance(file.seed, str) else file.seed
-        settings = with_polled_roster(to_settings(file.settings, seed & (1 << 64) - 1), file.settings)
+        settings = to_settings(file.settings, seed & (1 << 64) - 1)
+        is_list_pushed = not settings.must_ask_roster
+        settings = with_polled_roster(settings, file.settings)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: {error}") from None
     except (WireError, ValueError) as error:
@@ -141,4 +144,5 @@
         watch_s=min(MAX_WATCH_S, file.settings.obligations.ask_within_us / WATCHES_PER_PERIOD / 1e6),
         dial_s=file.settings.limits.dial_timeout_us / 1e6,
         idle_s=file.settings.limits.keepalive_us / 1e6,
+        is_list_pushed=is_list_pushed,
     )
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -68,6 +68,7 @@
         self._clients = Clients(sock, max_clients, self, self._turn_clock, self._track_task, self.note)
         self._discovery = Discovery(config.discovery, config.watch_s, self._on_news, self.note)
         self._sweep_task: asyncio.Task[None] | None = None
+        self._awaits_first_list = False
         self._ended = asyncio.Event()
         self._reload = Reload(self._apply, self._track_task)
         self._answers = AttemptCounts()  # since the last state line in the log
@@ -88,15 +89,25 @@
         LOG.info("ended")
 
     def start(self) -> None:
-        """Begin to serve."""
+        """Begin to serve, by the list that the configuration file says is known already.
+
+        Where lists are pushed, the gateway counts as notified of the newest one from its first moment on, and not of
+        this one. It then serves once discovery has answered its first call, or has failed to.
+        """
         self._load_known_list()
+        self._awaits_first_list = self._config.is_list_pushed
         self._carry_out_all(self._requests.handle(api.Start(), now_us()))
+        self._sweep_task = asyncio.ensure_future(self._sweep())
+        if not self._awaits_first_list:
+            self._listen()
+
+    def _listen(self) -> None:
+        self._awaits_first_list = False
         self._clients.listen()
         config, limits = self._config, self._config.limits
         times = f"dial {config.dial_s:g} s, idle {config.idle_s:g} s"
         LOG.info("limits: %d descriptors, %g MB, %g cores; %s", limits.sockets, limits.memory_mb, limits.cores, times)
         LOG.info("ready: %s on %s:%s", self._config.name, *self._clients.address)
-        self._sweep_task = asyncio.ensure_future(self._sweep())
 
     def close(self) -> None:
         """End sweeps, calls to discovery and connections to servers."""
@@ -204,7 +215,13 @@
         self._on_news(news)
 
     def _on_news(self, news: News | None) -> None:
-        """Pass discovery's news to the Router and update the pools. `news` is None for a call that failed."""
+        """Handle the result of a call to discovery: None if it failed."""
+        self._apply_news(news)
+        if self._awaits_first_list:
+            self._listen()
+
+    def _apply_news(self, news: News | None) -> None:
+        """Pass discovery's news to the Router and update the pools."""
         if news is None:
             self._carry_out_all(self._requests.handle(api.Roster(RosterKind.FAILED), now_us()))
             return
--- a/oatlink/platform/start.py
+++ b/oatlink/platform/start.py
@@ -12,16 +12,13 @@
 from oatlink.platform.gateway import Gateway
 from oatlink.platform.lines import LogRateLimit
 
-BACKLOG = 512
-
 
 def open_listener(config: Config) -> socket.socket:
-    """Open the listening socket. Raises `OSError`."""
+    """Bind the socket that the gateway will listen on. Raises `OSError`."""
     family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(config.listen)
-    sock.listen(BACKLOG)
     sock.setblocking(False)
     return sock
 
