A RESP client whose input fails in a later turn is freed with its connection

An error that is handed to a client that waited for its turn kept the frames of two tracebacks, which refer to the future that holds the error: a cycle that outlives the client, with its input.

Change: the error is handed on without its traceback, and the frame that waits lets go of the future. Either one alone left the cycle: the test still failed with the first.

Measured: the new case of tests/test_freed_connections.py (an input that had to wait) failed before; its 31 and the 12 of tests/test_input_turns.py pass.

--- a/oatlink/transport/turns.py
+++ b/oatlink/transport/turns.py
@@ -48,7 +48,10 @@
             return
         handled: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.run_later(partial(_resolve, handled, handle_input))
-        await handled
+        try:
+            await handled
+        finally:
+            del handled  # it refers to an error whose traceback refers to this frame
 
     def _has_time(self) -> bool:
         turn_began_us = self._turn_clock.turn_began_us()
@@ -86,6 +89,7 @@
     try:
         handle_input()
     except Exception as problem:
-        handled.set_exception(problem)
+        # Without its traceback, whose frames refer to `handled`: such a cycle would outlive the client.
+        handled.set_exception(problem.with_traceback(None))
     else:
         handled.set_result(None)
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -33,6 +33,7 @@
 from oatlink.platform.servers.connection import Connection
 from oatlink.protocols import pgwire as pg
 from oatlink.protocols import resp
+from oatlink.transport.turns import InputTurns
 from tests.client_world import Peer, query
 from tests.gateways import Served, served
 from tests.platform_world import Discovery, Server, World, run_scenario
@@ -333,3 +334,31 @@
         assert freed() is None
     finally:
         gc.enable()
+
+
+@pytest.mark.parametrize("has_to_wait", [False, True])
+def test_what_fails_in_its_turn_of_the_loop_is_freed_without_the_collector(has_to_wait: bool) -> None:
+    class Input:
+        def handle(self) -> None:
+            raise resp.ProtocolError
+
+    async def fail(input_turns: InputTurns, failing: Input) -> None:
+        with contextlib.suppress(resp.ProtocolError):
+            await input_turns.wait_until_handled(failing.handle)
+
+    async def check() -> None:
+        input_turns, failing = InputTurns(TurnClock()), Input()
+        if has_to_wait:
+            input_turns.run_later(lambda: None)
+        freed = weakref.ref(failing)
+        await fail(input_turns, failing)
+        del failing
+        await asyncio.sleep(0.01)  # callbacks that the loop still has to run
+        assert freed() is None
+
+    gc.collect()
+    gc.disable()
+    try:
+        run_scenario(check())
+    finally:
+        gc.enable()
