--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -12,7 +12,7 @@
 import sys
 import weakref
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
@@ -48,6 +48,18 @@
 CONNECTIONS = (Client, Connection, Stream)
 
 
+@contextlib.contextmanager
+def collector_off() -> Iterator[None]:
+    """Switch the garbage collector off, with nothing left for it from before."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+        gc.collect()
+
+
 def unfreed_counts() -> dict[str, int]:
     """How many closed connections and ended requests there still are in memory, by type."""
     counts: Counter[str] = Counter()
@@ -102,14 +114,11 @@
             discovery.entries = world.entries()
             world.write(discovery.address)
             await world.start()
-            gc.collect()
-            gc.disable()
-            try:
-                yield world
-            finally:
-                gc.enable()
-                world.stop_in_process()
-                gc.collect()
+            with collector_off():
+                try:
+                    yield world
+                finally:
+                    world.stop_in_process()
 
 
 async def leave_at_once(world: InProcess) -> None:
@@ -240,13 +249,8 @@
             assert [type(each) for each in gc.get_objects() if isinstance(each, kinds)] == []
             ended.set()
 
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_off():
         run_scenario(check())
-    finally:
-        gc.enable()
-        gc.collect()
 
 
 MAX_KEPT_BYTES = 1_000
@@ -301,9 +305,7 @@
 @scene(served, 1)
 async def test_a_closed_resp_client_is_freed_without_the_collector(world: Served, last: bytes) -> None:
     """Guards the RESP gateway against the growth of review, case 1."""
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_off():
         for _ in range(REPEATS):
             client = await world.wire()
             client.writer.write(resp.command("PING") + last)
@@ -314,17 +316,13 @@
         await asyncio.sleep(0.01)  # callbacks that the loop still has to run
         closed = [each for each in gc.get_objects() if isinstance(each, gateway_clients.Client | Stream)]
         assert [each for each in closed if (each if isinstance(each, Stream) else each.stream).closed()] == []
-    finally:
-        gc.enable()
 
 
 def test_a_link_with_an_invalid_reply_is_freed_without_the_collector() -> None:
     reports = SimpleNamespace(now=lambda: 0, batch=contextlib.nullcontext)
     owner: Any = SimpleNamespace(limits=resp.Limits(), reports=reports)
     stream: Any = SimpleNamespace()
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_off():
         link = LinkConnection(owner, stream, 2, "")
         link.reader.feed(b"+OK\r\n" + LONG_TEXT)
         with contextlib.suppress(resp.ProtocolError):
@@ -332,8 +330,6 @@
         freed = weakref.ref(link)
         del link
         assert freed() is None
-    finally:
-        gc.enable()
 
 
 @pytest.mark.parametrize("has_to_wait", [False, True])
@@ -356,9 +352,5 @@
         await asyncio.sleep(0.01)  # callbacks that the loop still has to run
         assert freed() is None
 
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_off():
         run_scenario(check())
-    finally:
-        gc.enable()
