--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import sys
 from pathlib import Path
 
@@ -52,7 +53,8 @@
             own_s = await lateness
         finally:
             for process in bad:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
             await gateway.end()
     record.add("case", f"requests lost: {len(lost)}; this process was late by {own_s:.3f} s at most")
--- a/review/seen-2/stop_flood.py
+++ b/review/seen-2/stop_flood.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import signal
 import sys
 from pathlib import Path
@@ -54,7 +55,8 @@
             await asyncio.gather(*clients)
         finally:
             for process in bad:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
             await gateway.end()
     record.add("case", f"lost requests: {len(lost)} {lost}")
