An empty query in front of each statement tells its answer from copies on their way

Cause: an answer names no statement, and a connection was used again in the turn of its answer (platform/servers/pool.py), while the copy was on its way. Evidence: a stand-in whose copy arrives behind the next statement; on the build before test_a_copy_on_its_way and test_a_connection_rests both failed (value of 7f3a for 0, of 0 for 1). Change: FENCE + statement in one write; PROTOCOL says that empty queries are answered at once, so what lies before that answer is skipped and the connection ends. A server that ignores empty queries is recognised by its first answer; its connections rest 50 ms.

--- a/oatlink/platform/reply.py
+++ b/oatlink/platform/reply.py
@@ -3,8 +3,14 @@
 The result does not depend on how the bytes are split. A length is checked before memory is allocated for it. No part of
 an answer is forwarded before the whole of it has arrived, so that a client never receives data that only begins like
 its value.
+
+An answer does not say which statement it belongs to, and a server may send bytes that nobody asked for, such as a
+second copy of an answer. If a copy were still on its way when the next statement is written, it would be taken for
+that statement's answer. An empty query, the fence, is therefore written in front of each statement. Every server
+answers it with EmptyQueryResponse, at once and in order, so that only what follows belongs to the statement.
 """
 
+import enum
 import math
 from dataclasses import dataclass, field
 
@@ -21,6 +27,25 @@
 FULL_SQLSTATE = "53300"
 
 
+FENCE = pg.make_query(b"").encode()
+
+
+class FenceSupport(enum.Enum):
+    """Whether the server of a connection answers empty queries, as the first answer on the connection shows."""
+
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+    IGNORED = "ignored"
+
+
+class _FenceState(enum.Enum):
+    """How far the answer to the fence has been read."""
+
+    NOT_DUE = "not due"
+    DUE = "due"
+    READY_DUE = "ready due"  # its EmptyQueryResponse was read, and its ReadyForQuery is due
+
+
 class InvalidReplyError(Exception):
     """A reply that cannot be parsed; its connection cannot be used any more."""
 
@@ -83,6 +108,9 @@
     def __init__(self) -> None:
         self._reader = pg.backend_reader(LIMITS)
         self._expected_kind = b"R"
+        self._fence_state = _FenceState.NOT_DUE
+        self.fence_support = FenceSupport.UNKNOWN
+        self.has_surplus = False  # messages were received that no statement had asked for
         self._reset()
 
     def _reset(self) -> None:
@@ -97,6 +125,10 @@
         """The number of bytes received after the last parsed message."""
         return self._reader.pending
 
+    def expect_fence(self) -> None:
+        """Expect the answer to a fence in front of the next answer."""
+        self._fence_state = _FenceState.DUE
+
     def feed(self, data: bytes) -> Answer | None:
         """Add received bytes and return the answer once it is complete. Raises `InvalidReplyError`."""
         self._reader.feed(data)
@@ -105,6 +137,8 @@
                 self._messages += 1
                 if self._messages > MAX_MESSAGES:
                     raise InvalidReplyError("too many messages in one answer")
+                if self._belongs_to_fence(message):
+                    continue
                 if self._handle_message(message):
                     answer, self._expected_kind = self._answer, b"T"
                     self._reset()
@@ -117,6 +151,30 @@
         """Return the error that arrived whole before the connection ended: nothing follows after a fatal error."""
         return self._answer if self._answer is not None and self._answer.outcome is not Outcome.SERVED else None
 
+    def _belongs_to_fence(self, message: pg.Message) -> bool:
+        """Whether a message is part of the fence's answer or came before it, and is to be skipped.
+
+        Raises `ProtocolError`.
+        """
+        if self._fence_state is _FenceState.NOT_DUE or message.kind in b"SN":
+            return False
+        if self._fence_state is _FenceState.READY_DUE:
+            pg.ready(message)
+            self._fence_state = _FenceState.NOT_DUE
+            self._reset()
+            return True
+        if message.kind == b"I":
+            self._fence_state = _FenceState.READY_DUE
+            self.fence_support = FenceSupport.ANSWERED
+            return True
+        if self.fence_support is FenceSupport.ANSWERED:
+            self.has_surplus = True
+            return True
+        # Nothing precedes the first answer on a connection, so this is that answer: the fence was ignored.
+        self.fence_support = FenceSupport.IGNORED
+        self._fence_state = _FenceState.NOT_DUE
+        return False
+
     def _handle_message(self, message: pg.Message) -> bool:
         """Handle one message; return True if it ends the answer. Raises `InvalidReplyError` or `ProtocolError`."""
         kind = message.kind
--- a/oatlink/platform/servers/connection.py
+++ b/oatlink/platform/servers/connection.py
@@ -13,13 +13,14 @@
 
 from oatlink.gateway.clock import Stream, now_us
 from oatlink.interface import Outcome
-from oatlink.platform.reply import Answer, InvalidReplyError, ReplyReader
+from oatlink.platform.reply import FENCE, Answer, FenceSupport, InvalidReplyError, ReplyReader
 from oatlink.protocols import pgwire as pg
 from oatlink.transport.closing import Closing, State, Step
 
 READ_CHUNK_BYTES = 16_384
 STARTUP = pg.make_startup({"user": "backend", "database": "store"}).encode()
 CHECK = pg.make_query(b"SHOW health").encode()
+SURPLUS_NOTE = "sent bytes that no statement had asked for"
 
 
 class Job(Protocol):
@@ -75,10 +76,18 @@
         """Whether it has ended."""
         return self._closing.state is State.CLOSED
 
+    @property
+    def ignores_fences(self) -> bool:
+        """Whether its server answers no empty queries, so that bytes on their way could be taken for an answer."""
+        return self._reader.fence_support is FenceSupport.IGNORED
+
     def write_job(self, job: Job) -> None:
-        """Write a job that may be written; the connection must have no other job."""
+        """Write a job that may be written, behind a fence; the connection must have no other job."""
         self.job = job
         payload = job.payload()
+        if not self.ignores_fences:
+            self._reader.expect_fence()
+            payload = FENCE + payload
         self._job_end_bytes = self.stream.sent_bytes + len(payload)
         try:
             self.stream.write(payload)
@@ -134,11 +143,13 @@
         Raises `StreamClosedError` or `InvalidReplyError`.
         """
         if self.job is None:
+            self._owner.note(SURPLUS_NOTE)
             return None
         answer = self._reader.feed(data)
         if answer is None:
             return self._read()
-        if self._reader.pending:
+        if self._reader.has_surplus or self._reader.pending:
+            self._owner.note(SURPLUS_NOTE)
             self._end(answer.outcome, answer)
             return None
         at_us = self.stream.arrived_by_us
--- a/oatlink/platform/servers/pool.py
+++ b/oatlink/platform/servers/pool.py
@@ -17,6 +17,7 @@
 
 MAX_BUFFERED_BYTES = 262_144  # per connection, of bytes that wait to be read, and of bytes that wait to be written
 MAX_PARALLEL_DIALS = 8  # to one server
+REST_S = 0.05  # after an answer of a server that ignores fences, for bytes that may follow it
 IDLE_MARGIN = 0.1  # share of the idle time; a connection is closed this much earlier than the server would close it
 
 
@@ -36,6 +37,7 @@
         self.servers, self.number, self.address = servers, number, address
         self.idle: list[Connection] = []
         self.busy: dict[Job, Connection] = {}
+        self.resting: dict[Connection, None] = {}
         self.waiting: dict[Job, int] = {}  # jobs without a connection, in order, and when each began to wait
         self.dialing = 0
         self.is_retired = False  # the server has left the list, or has another address
@@ -43,12 +45,17 @@
     @property
     def open_count(self) -> int:
         """Number of descriptors in use."""
-        return len(self.idle) + len(self.busy) + self.dialing
+        return len(self.idle) + len(self.resting) + len(self.busy) + self.dialing
+
+    @property
+    def connections(self) -> list[Connection]:
+        """All established connections."""
+        return [*self.idle, *self.resting, *self.busy.values()]
 
     @property
     def is_used(self) -> bool:
         """Whether the pool has connections, dials or waiting jobs that need sweeps."""
-        return bool(self.idle or self.busy or self.waiting or self.dialing)
+        return bool(self.idle or self.resting or self.busy or self.waiting or self.dialing)
 
     def note(self, text: str) -> None:
         """Write a line about this server to the log."""
@@ -88,9 +95,21 @@
             connection.abandon()
 
     def connection_idle(self, connection: Connection) -> None:
-        """Give a connection without a job to the next waiting job, or keep it idle."""
+        """Give a connection without a job to the next waiting job, or keep it idle; let it rest first if it has to."""
         self._unbind(connection)
         connection.idle_since_us = now_us()
+        if connection.ignores_fences:
+            self.resting[connection] = None
+            asyncio.get_running_loop().call_later(REST_S, self._end_rest, connection)
+        else:
+            self._reuse(connection)
+
+    def _end_rest(self, connection: Connection) -> None:
+        if connection in self.resting:
+            del self.resting[connection]
+            self._reuse(connection)
+
+    def _reuse(self, connection: Connection) -> None:
         self.idle.append(connection)
         while self.waiting and self.idle:
             job, since_us = next(iter(self.waiting.items()))
@@ -101,6 +120,7 @@
     def connection_closed(self, connection: Connection) -> None:
         """Forget a connection that has closed."""
         self._unbind(connection)
+        self.resting.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -118,7 +138,7 @@
     def retire(self) -> None:
         """Withdraw waiting jobs at once and let running ones end in their own time: the server has left or moved."""
         self.is_retired = True
-        for connection in [*self.idle, *self.busy.values()]:
+        for connection in self.connections:
             connection.drain()
         for job in list(self.waiting):
             self._withdraw(job)
@@ -129,7 +149,7 @@
 
     def drop_idle(self) -> None:
         """Close all idle connections."""
-        for connection in list(self.idle):
+        for connection in [*self.idle, *self.resting]:
             connection.close_quietly()
 
     def sweep(self, at_us: int) -> None:
@@ -269,5 +289,5 @@
     def close(self) -> None:
         """Close all connections."""
         for pool in list(self.active):
-            for connection in [*pool.idle, *pool.busy.values()]:
+            for connection in pool.connections:
                 connection.close_quietly()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,6 +35,7 @@
         "test_recording",
         "test_reload",
         "test_standins",
+        "test_surplus_answers",
     )
 )
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -22,6 +22,7 @@
 READY = pg.make_ready().encode()
 COLUMNS = pg.make_columns((b"content",), (17,)).encode()
 DONE = pg.make_complete(b"SELECT 1").encode()
+EMPTY = pg.Message(b"I", b"").encode()
 PATIENCE_S = 20.0
 
 
@@ -34,17 +35,23 @@
 
     `mode` is how it answers a statement: a key of `answers` below, or "held", "hang", "hang up", "huge" or "break".
     A list gives one mode for each statement, then "good". While `greets` is False, a new connection gets no answer to
-    its startup until `release` is set.
+    its startup until `release` is set. `answers_empty`: whether it answers empty queries, as the protocol demands.
+    With `copies` each answer is sent a second time, `copy_delay_s` later; with None for that, when the next input has
+    arrived, as it appears to a gateway that writes while the copy is on its way.
     """
 
     def __init__(self, primary: bool) -> None:
         self.primary = primary
         self.mode: str | list[str] = "good"
-        self.greets = True
+        self.greets = self.answers_empty = True
+        self.copies = False
+        self.copy_delay_s: float | None = None
+        self.work_s = 0.0
         self.statements: list[bytes] = []
         self.checks = self.connections = self.open = 0
         self.release = asyncio.Event()
         self.writers: set[asyncio.StreamWriter] = set()
+        self._last_answers: dict[asyncio.StreamWriter, bytes] = {}
         self.port = 0
 
     async def __aenter__(self) -> "Server":
@@ -77,16 +84,27 @@
             if not self.greets:
                 await self.release.wait()
             writer.write(pg.make_authentication(0).encode() + READY)
+            self._last_answers[writer] = b""
             while True:
                 kind = await reader.readexactly(1)
                 (size,) = struct.unpack("!i", await reader.readexactly(4))
                 text = (await reader.readexactly(size - 4))[:-1]
+                if self.copies and self.copy_delay_s is None:
+                    writer.write(self._last_answers[writer])
+                    self._last_answers[writer] = b""
                 if kind != b"Q" or not await self._answer(text, reader, writer):
                     break
         self.open -= 1
         self.writers.discard(writer)
+        self._last_answers.pop(writer, None)
         writer.close()
 
+    def _write_copy(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Send a second copy of an answer later."""
+        self._last_answers[writer] = answer
+        if self.copies and self.copy_delay_s is not None:
+            asyncio.get_running_loop().call_later(self.copy_delay_s, writer.write, answer)
+
     async def _hang(self, reader: asyncio.StreamReader) -> None:
         """Wait until `release` is set or the gateway has closed the connection."""
         tasks = [asyncio.ensure_future(self.release.wait()), asyncio.ensure_future(reader.read(1))]
@@ -97,6 +115,10 @@
 
     async def _answer(self, text: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         role_status = pg.make_status("recovery", "off" if self.primary else "on").encode()
+        if not text:
+            if self.answers_empty:
+                writer.write(EMPTY + READY)
+            return True
         if text == b"SHOW health":
             self.checks += 1
             report = b"x0=%.3f,x1=%d" % (time.time(), self.primary)
@@ -105,6 +127,7 @@
         self.statements.append(text)
         mode = self._next_mode()
         good = row(b"value of " + text.split(b"'")[1]) + role_status + pg.make_status("lsn_ms", "17").encode() + READY
+        await asyncio.sleep(self.work_s)
         if mode == "held":  # answered once `release` is set
             await self.release.wait()
             mode = "good"
@@ -131,6 +154,7 @@
                 "error": pg.make_error("XX000", "internal").encode() + READY,
             }
             writer.write(answers[mode])
+            self._write_copy(writer, answers[mode])
         return True
 
 
