Requesters have their turns before newcomers; messages of many fields cost little

Cause: turns went by the order of asking (transport/turns.py), so a request waited for a message of each of 480 others, 4.0 ms each (pgwire.startup). Change: requesters before newcomers in both gateways, one newcomer a turn all the same; limits on fields; no repeated group in the INSERT's pattern. Failed before: test_a_request_waits_for_few (40 of 40 newcomers first), test_a_message_of_many_fields (4 of 4). The other tests of turns name the new argument, unchanged otherwise.

--- a/benchmarks/platform_cost.py
+++ b/benchmarks/platform_cost.py
@@ -15,7 +15,6 @@
 
 import click
 
-from oatlink.protocols import pgwire as pg
 from tests import platform_world
 
 WORK_S = 0.02
--- a/oatlink/gateway/reading.py
+++ b/oatlink/gateway/reading.py
@@ -30,6 +30,7 @@
     max_unanswered = limits.client_pipeline
     max_unsent_bytes = limits.client_output_bytes // 2
     write_timeout_s = limits.client_write_timeout_ms / 1000
+    is_requester = False  # whether a command of this client was carried out
     while not client.discards_input:
         resumed_us = await _wait_for_pause(client) if client.paused_until_us else 0
         ready_us = now_us()
@@ -53,7 +54,8 @@
             # the waiting commands run all the same: otherwise commands behind hung ones would start again with their
             # whole time each time one of those ends.
             received.arrived_us, received.turn_us, received.resumed_us = arrived_us, turn_us, resumed_us
-            await gateway.input_turns.wait_until_handled(received.carry_out)
+            await gateway.input_turns.wait_until_handled(received.carry_out, is_requester)
+            is_requester = is_requester or received.taken_count > 0
             if client.is_over:
                 break
             if client.unsent_bytes > max_unsent_bytes and client.last_write is not None:
--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -74,6 +74,11 @@
         """Whether our side has been shut down, or only the last answer is left to send."""
         return self.ending.discards
 
+    @property
+    def _is_requester(self) -> bool:
+        """Whether it has submitted queries and made no mistake."""
+        return self.has_submitted and not self._mistake_count
+
     @property
     def has_pending(self) -> bool:
         """Whether a query is unanswered, or an answer is not written yet."""
@@ -252,13 +257,13 @@
         """Handle messages now, or in a later turn of the loop if this one has handled enough input of clients."""
         if not self._is_turn_due:
             self._is_turn_due = True
-            self._input_turns.run(self._take_turn)
+            self._input_turns.run(self._take_turn, self._is_requester)
 
     def _schedule_turn(self) -> None:
         """Handle the next message in a later turn of the loop: an answer may trigger the next query, and so on."""
         if not self._is_turn_due:
             self._is_turn_due = True
-            self._input_turns.run_later(self._take_turn)
+            self._input_turns.run_later(self._take_turn, self._is_requester)
 
     def _take_turn(self) -> None:
         self._is_turn_due = False
--- a/oatlink/platform/statement.py
+++ b/oatlink/platform/statement.py
@@ -22,7 +22,7 @@
     rb"/\* (" + _PAIR + rb"(?:," + _PAIR + rb"){0,15}) \*/ (?:"
     rb"SELECT " + _IDENTIFIER + rb" FROM " + _IDENTIFIER + rb" WHERE " + _IDENTIFIER + rb" = '([^'\\\x00-\x1f]{1,256})'"
     rb"|INSERT INTO " + _IDENTIFIER + rb" \(" + _IDENTIFIER + rb", " + _IDENTIFIER + rb"\)"
-    rb" VALUES \('([^'\\\x00-\x1f]{1,256})', '\\x((?:[0-9A-Fa-f]{2})*)'\) RETURNING " + _IDENTIFIER + rb")"
+    rb" VALUES \('([^'\\\x00-\x1f]{1,256})', '\\x([0-9A-Fa-f]*+)'\) RETURNING " + _IDENTIFIER + rb")"
 )
 _WAIT = re.compile(rb"([ ,]d=)([0-9]{1,9})(?=[ ,])")
 _DIGITS = re.compile(rb"[0-9]{1,15}")
@@ -63,7 +63,7 @@
 def parse(text: bytes, classes: Mapping[str, RequestClass], groups: Container[int]) -> Statement:
     """Parse a statement into a request. Raises `StatementError`."""
     matched = _STATEMENT.fullmatch(text)
-    if matched is None:
+    if matched is None or len(matched.group(4) or b"") % 2:
         raise StatementError("42601", "expected /* id=,c=,d=,cluster= */ and one SELECT or INSERT of this store")
     comment, read, written, value = matched.groups()
     try:
--- a/oatlink/protocols/pgwire.py
+++ b/oatlink/protocols/pgwire.py
@@ -21,6 +21,11 @@
 STARTUP_BYTES = 10_000  # the reference server's MAX_STARTUP_PACKET_LENGTH
 SMALL_BYTES = 30_000  # for messages without user data: the reference server's PQ_SMALL_MESSAGE_LIMIT
 MAX_PARAMETERS = 65_535  # counts are Int16, which the reference server reads as unsigned
+# Limits on what is parsed field by field. A message of 10,000 bytes has room for thousands of empty fields, which would
+# take milliseconds, in which a proxy does nothing else.
+MAX_STARTUP_PARAMETERS = 256  # of the reference server's settings, about 350, a client sets a few
+MAX_ERROR_FIELDS = 64  # the documentation names 18
+MAX_COLUMNS = 1_664  # the reference server's MaxTupleAttributeNumber
 
 # Message types by their first byte, with the names used in the documentation.
 FRONTEND = {
@@ -204,10 +209,16 @@
         self._position = end + 1
         return text
 
-    def values(self) -> tuple[bytes | None, ...]:
+    def check_count(self, count: int, max_count: int, what: str) -> None:
+        if count > max_count:
+            _raise_violation(f"{self._name}: expected at most {max_count} {what}")
+
+    def values(self, max_count: int = MAX_PARAMETERS) -> tuple[bytes | None, ...]:
         """Read an Int16 count and that many values, each with its length; None is NULL."""
         values: list[bytes | None] = []
-        for _ in range(self.count()):
+        count = self.count()
+        self.check_count(count, max_count, "values")
+        for _ in range(count):
             size = self.int32()
             if size < -1:
                 _raise_violation(f"{self._name}: expected a length of -1 or more, got {size}")
@@ -258,7 +269,10 @@
     if code >> 16 != 3:
         raise ProtocolError(f"0A000 unsupported frontend protocol {code >> 16}.{code & 0xFFFF}: server supports 3.0")
     parameters: dict[str, str] = {}
+    parameter_count = 0
     while name := body.text():
+        parameter_count += 1
+        body.check_count(parameter_count, MAX_STARTUP_PARAMETERS, "parameters")
         parameters[name.decode("utf-8", "replace")] = body.text().decode("utf-8", "replace")
     body.end()
     if not parameters.get("user"):
@@ -350,10 +364,13 @@
     """Return the fields of an ErrorResponse or NoticeResponse by their letters; `C` is the SQLSTATE."""
     body = _BodyReader(BACKEND[message.kind], message.body)
     values: dict[str, str] = {}
+    field_count = 0
     while body.has_more:
         letter = body.raw(1)
         if letter == b"\0":
             break
+        field_count += 1
+        body.check_count(field_count, MAX_ERROR_FIELDS, "fields")
         values[letter.decode("latin1")] = body.text().decode("utf-8", "replace")
     body.end()
     return values
@@ -362,7 +379,7 @@
 def row(message: Message) -> tuple[bytes | None, ...]:
     """Return a DataRow's values; None is NULL."""
     body = _BodyReader("DataRow", message.body)
-    values = body.values()
+    values = body.values(MAX_COLUMNS)
     body.end()
     return values
 
@@ -371,6 +388,7 @@
     """Return the number of columns of a RowDescription; each one is checked to be complete."""
     body = _BodyReader("RowDescription", message.body)
     count = body.count()
+    body.check_count(count, MAX_COLUMNS, "columns")
     for _ in range(count):
         body.text()
         body.raw(18)  # table OID, column number, type OID, type size, type modifier, format
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -340,12 +340,12 @@
 
     async def fail(input_turns: InputTurns, failing: Input) -> None:
         with contextlib.suppress(resp.ProtocolError):
-            await input_turns.wait_until_handled(failing.handle)
+            await input_turns.wait_until_handled(failing.handle, False)
 
     async def check() -> None:
         input_turns, failing = InputTurns(TurnClock()), Input()
         if has_to_wait:
-            input_turns.run_later(lambda: None)
+            input_turns.run_later(lambda: None, False)
         freed = weakref.ref(failing)
         await fail(input_turns, failing)
         del failing
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -86,7 +86,7 @@
         nonlocal turn_us
         input_turns = InputTurns(TurnClock())
         for number in range(10):
-            input_turns.run(partial(handle, number))
+            input_turns.run(partial(handle, number), False)
         assert handled == [0, 1, 2, 3], "the time of this turn is used up"
         counts = [len(handled)]
         while len(handled) < 10:
@@ -96,7 +96,7 @@
         assert max(after - before for before, after in zip(counts, counts[1:], strict=False)) <= 4
         turn_us = 3 * INPUT_TIME_PER_TURN_US
         for number in range(10, 13):
-            input_turns.run_later(partial(handle, number))
+            input_turns.run_later(partial(handle, number), False)
         for _ in range(20):
             await asyncio.sleep(0)
         assert handled == list(range(13)), "each turn handles the input of one client, however long that takes"
@@ -104,6 +104,56 @@
     run_scenario(check())
 
 
+def test_requesters_go_before_newcomers_of_which_each_turn_handles_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock_us, handled = 0, list[str]()
+    monkeypatch.setattr(turns, "now_us", lambda: clock_us)
+
+    def handle(name: str) -> None:
+        nonlocal clock_us
+        clock_us += INPUT_TIME_PER_TURN_US
+        handled.append(name)
+
+    async def check() -> None:
+        input_turns = InputTurns(TurnClock())
+        for number in range(3):
+            input_turns.run_later(partial(handle, f"newcomer {number}"), False)
+        for number in range(3):
+            input_turns.run_later(partial(handle, f"requester {number}"), True)
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    run_scenario(check())
+    assert handled == [f"{kind} {number}" for number in range(3) for kind in ("requester", "newcomer")]
+
+
+@scene(listener_world)
+async def test_a_request_waits_for_few_of_the_clients_that_have_sent_none(
+    world: ListenerWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that waits for a message of each newcomer, whatever those cost (review, case 8)."""
+    handled_before, newcomer_count = list[int](), 40
+    handle_message = Client._handle_message
+
+    def count_message(client: Client, message: pg.Message) -> None:
+        if client.has_submitted:
+            handled_before.append(sum(not each._reader.pending for each in world.clients.active) - 1)
+        handle_message(client, message)
+
+    world.handler.answers_at_once = True
+    usual, _ = await world.start_client()
+    usual.send(query(b"first"))
+    assert await usual.answer() == "value of first"
+    monkeypatch.setattr(turns, "INPUT_TIME_PER_TURN_US", 1)  # each turn has time for one client
+    monkeypatch.setattr(Client, "_handle_message", count_message)
+    newcomers = [world.connect(STARTUP) for _ in range(newcomer_count)]
+    await world.until(lambda: len(world.clients.active) == newcomer_count + 1)
+    usual.send(query(b"second"))
+    assert await usual.answer() == "value of second"
+    assert handled_before[0] < newcomer_count // 2
+    for newcomer in newcomers:
+        assert await newcomer.answer() == ""
+
+
 def test_a_failure_in_one_clients_turn_keeps_no_other_client_waiting() -> None:
     handled: list[int] = []
 
@@ -113,8 +163,8 @@
     async def check() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         input_turns = InputTurns(TurnClock())
-        input_turns.run_later(fail)
-        input_turns.run_later(partial(handled.append, 1))
+        input_turns.run_later(fail, False)
+        input_turns.run_later(partial(handled.append, 1), False)
         for _ in range(5):
             await asyncio.sleep(0)
         assert handled == [1]
@@ -171,21 +221,21 @@
 
     async def check() -> None:
         input_turns, handled = InputTurns(TurnClock()), list[int]()
-        input_turns.run_later(partial(handled.append, 1))
+        input_turns.run_later(partial(handled.append, 1), False)
         with pytest.raises(ZeroDivisionError):
-            await input_turns.wait_until_handled(fail)
+            await input_turns.wait_until_handled(fail, False)
         assert handled == [1], "it waited for the one before it"
-        input_turns.run_later(partial(handled.append, 2))
-        await input_turns.wait_until_handled(partial(handled.append, 3))
+        input_turns.run_later(partial(handled.append, 2), False)
+        await input_turns.wait_until_handled(partial(handled.append, 3), False)
         assert handled == [1, 2, 3]
         monkeypatch.setattr(turns, "INPUT_TIME_PER_TURN_US", 1)
-        await input_turns.wait_until_handled(partial(handled.append, 4))
-        leaving = asyncio.ensure_future(input_turns.wait_until_handled(partial(handled.append, 5)))
+        await input_turns.wait_until_handled(partial(handled.append, 4), False)
+        leaving = asyncio.ensure_future(input_turns.wait_until_handled(partial(handled.append, 5), False))
 
         def leave() -> None:
             leaving.cancel()
 
-        input_turns.run_later(leave)
+        input_turns.run_later(leave, False)
         await asyncio.sleep(0.01)
         assert handled == [1, 2, 3, 4] and leaving.cancelled(), "nothing is handled for a client that has left"
 
--- a/tests/test_pgwire.py
+++ b/tests/test_pgwire.py
@@ -1,7 +1,9 @@
 """The PostgreSQL codec: any split of the bytes, round trips, damaged messages, and layouts from the documentation."""
 
+import contextlib
 import random
 import struct
+import sys
 from collections.abc import Callable
 
 import pytest
@@ -194,6 +196,48 @@
     assert error_count > 100 or message.kind == b"R"  # the data of an Authentication may be anything
 
 
+def calls_made(call: Callable[[], object]) -> int:
+    """How many functions a call enters, whatever it raises: its work, on a machine of any speed."""
+    count = 0
+
+    def count_call(frame: object, event: str, argument: object) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(count_call)
+    try:
+        with contextlib.suppress(ProtocolError):
+            call()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+MANY_FIELDS: dict[str, tuple[Callable[[pg.Message], object], pg.Message]] = {
+    "startup": (pg.startup, pg.Message(b"", struct.pack("!i", pg.PROTOCOL) + b"user\0u\0" + b"a\0\0" * 3_300 + b"\0x")),
+    "error": (pg.fields, pg.Message(b"E", b"Sx\0" * 21_000 + b"\0")),
+    "row": (pg.row, pg.Message(b"D", b"\x3f\xff" + b"\xff\xff\xff\xff" * 16_383)),
+    "columns": (pg.columns, pg.Message(b"T", b"\x0d\x00" + b"\0" * 19 * 3_328)),
+}
+
+
+# Guards against a proxy that is busy with one message for milliseconds: hundreds of clients with such a startup kept
+# usual requests waiting past their time (review, case 8).
+@pytest.mark.parametrize("kind", MANY_FIELDS)
+def test_a_message_of_many_fields_is_refused_after_a_bounded_number_of_them(kind: str) -> None:
+    read, message = MANY_FIELDS[kind]
+    with pytest.raises(ProtocolError, match="expected at most"):
+        read(message)
+    assert calls_made(lambda: read(message)) <= 12 * pg.MAX_STARTUP_PARAMETERS
+
+
+def test_as_many_fields_as_the_limits_allow_are_read() -> None:
+    parameters = {"user": "u"} | {f"p{number}": "" for number in range(pg.MAX_STARTUP_PARAMETERS - 1)}
+    assert pg.startup(pg.make_startup(parameters)) == pg.Startup(pg.PROTOCOL, parameters)
+    assert pg.columns(pg.make_columns((b"n",) * pg.MAX_COLUMNS, (25,) * pg.MAX_COLUMNS)) == pg.MAX_COLUMNS
+    assert pg.row(pg.make_row((b"x",) * pg.MAX_COLUMNS)) == (b"x",) * pg.MAX_COLUMNS
+
+
 @given(st.lists(st.binary(max_size=30), max_size=20), st.booleans())
 def test_any_bytes_give_messages_or_a_protocol_error(pieces: list[bytes], is_frontend: bool) -> None:
     reader = (
