One account bounds the memory that all clients together make a gateway hold

Cause: bytes were bounded for each connection (133 KB received, a request, an answer), not their sum: 480 clients with 133 KB are 64 MB. Change: platform/memory.py counts input, open requests and unsent answers against a budget from the settings' limit and the process's size at its start. Over half of it nothing is read ahead; large requests that don't fit are refused; over it the oldest unfinished message's client ends.

--- a/benchmarks/scale/slopes/host.py
+++ b/benchmarks/scale/slopes/host.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import time
+from functools import partial
 
 import uvloop
 
@@ -18,6 +19,7 @@
 from oatlink.interface import Effect, Freshness, Outcome, RequestClass
 from oatlink.platform.clients import Clients, PipelineLimits, Query
 from oatlink.platform.gateway import SWEEP_S
+from oatlink.platform.memory import HeldBytes
 from oatlink.platform.reply import Answer
 from oatlink.platform.requests import Final
 from oatlink.platform.servers import CHECK, Bounds, Servers
@@ -97,9 +99,8 @@
         if not ports:
             sock = socket.create_server(("127.0.0.1", 0), backlog=1024)
             sock.setblocking(False)
-            self.clients = Clients(
-                sock, 60_000, QueryHandler(), turn_clock, self.keep, lambda text: print(text, file=sys.stderr)
-            )
+            note = partial(print, file=sys.stderr)
+            self.clients = Clients(sock, 60_000, QueryHandler(), turn_clock, self.keep, note, HeldBytes(None))
 
     def keep(self, task: "asyncio.Future[None]") -> None:
         """Hold a task until it ends."""
--- a/oatlink/platform/clients/answers.py
+++ b/oatlink/platform/clients/answers.py
@@ -34,3 +34,4 @@
 FAILED = error("58000", "failed")
 TOO_MANY_CONNECTIONS = pg.make_error("53300", "too many connections, try again", "FATAL").encode()
 QUERY_TIMEOUT = pg.make_error("57P05", "expected a whole query by now", "FATAL").encode()
+OUT_OF_MEMORY = pg.make_error("53300", "out of memory for large queries, try again", "FATAL").encode()
--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -6,18 +6,20 @@
 """
 
 import asyncio
-from typing import Protocol
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from oatlink.gateway.clock import Stream, now_us
 from oatlink.platform.clients import answers
-from oatlink.platform.clients.pipeline import ArrivalTimes, Pipeline
+from oatlink.platform.clients.input import Input
+from oatlink.platform.clients.owner import ClientOwner
+from oatlink.platform.clients.pipeline import Pipeline
 from oatlink.platform.clients.query import Query, QueryHandler
+from oatlink.platform.memory import HeldBytes, HeldPart, HeldRequest
 from oatlink.platform.requests import Final
-from oatlink.platform.statement import MAX_QUERY_BYTES, StatementError
+from oatlink.platform.statement import StatementError
 from oatlink.protocols import pgwire as pg
-from oatlink.protocols.buffer import Limits, ProtocolError
+from oatlink.protocols.buffer import ProtocolError
 from oatlink.transport.closing import State
 from oatlink.transport.ending import Ending
 from oatlink.transport.turns import InputTurns
@@ -29,33 +31,27 @@
 MAX_MESSAGES_PER_TURN = 16  # of one client that are handled at once; others have their turn before it goes on
 MAX_MISTAKES = 4  # statements that cannot be parsed, per connection; then it is closed
 MISTAKE_PAUSE_S = 0.05  # times the count of mistakes, so that a client that repeats one takes no time from others
-LIMITS = Limits(message_bytes=MAX_QUERY_BYTES)
 LOCAL_COMMANDS = frozenset((b"SET", b"RESET", b"DISCARD"))  # answered here, since connections have no session state
 
 
-class ClientOwner(Protocol):
-    """Keeps the list of connections."""
-
-    def client_closed(self, client: "Client") -> None:
-        """Remove a connection that has closed."""
-        ...
-
-
 class Client:
     """One client connection, from its accept to its end."""
 
-    def __init__(self, stream: Stream, handler: QueryHandler, owner: ClientOwner, input_turns: InputTurns) -> None:
+    def __init__(
+        self, stream: Stream, handler: QueryHandler, owner: ClientOwner, input_turns: InputTurns, held: HeldBytes
+    ) -> None:
         self.stream, self._handler, self._owner, self._input_turns = stream, handler, owner, input_turns
+        self._held, self._held_answers = held, HeldPart(held)
         self.ending = Ending(stream, self._has_pending_answers, self._on_closed)
-        self._reader = pg.frontend_reader(LIMITS)
+        self.input = Input(held)
         self._is_started = False
-        self._arrival_times = ArrivalTimes()
         self._pipeline = Pipeline(handler.pipeline_limits)
         self.has_submitted = False  # whether any query was submitted
         self.accepted_us = self.last_answer_us = now_us()
         # Times since when a condition holds; 0 while it does not.
         self._incomplete_since_us = 0  # a message is partly received
         self._unsent_since_us = 0  # an answer is not fully taken by the client
+        self._unsent_bytes = 0  # of that answer, at most
         self._draining_since_us = 0  # no new request is accepted
         self._mistake_count = 0
         self._is_paused = False
@@ -104,17 +100,16 @@
 
         While no message may be handled, reading goes on to notice a close, but only up to about one message.
         """
-        pending = self._reader.pending
-        return pending > 0 and (
-            (self._is_turn_due and not self.ending.discards) or (pending > MAX_QUERY_BYTES and self._is_busy())
+        return self.input.pending > 0 and (
+            (self._is_turn_due and not self.ending.discards) or (self.input.exceeds_read_ahead and self._is_busy())
         )
 
     def _handle_input(self, data: bytes) -> None:
         if self.ending.discards:
             self.ending.discard(len(data))
         else:
-            self._reader.feed(data)
-            self._arrival_times.add(len(data), self.stream.arrived_by_us)
+            self.input.feed(data, self.stream.arrived_by_us)
+            self._owner.input_received(self)
             self._request_turn()
 
     def _is_busy(self) -> bool:
@@ -127,7 +122,7 @@
         """Whether something is still to be answered: a query, or one that is partly received or may be arriving."""
         if self.has_pending or self.ending.discards:
             return self.has_pending
-        return self._is_paused or self._reader.pending > 0 or not self.stream.is_idle()
+        return self._is_paused or self.input.pending > 0 or not self.stream.is_idle()
 
     def step(self) -> None:
         """Handle received messages as far as limits allow; a later turn goes on after a query or many messages.
@@ -142,7 +137,7 @@
             self.end(pg.refusal(error).encode())
             is_complete = True
         self._flush()
-        if not self._is_turn_due and self._reader.pending and not self._is_busy():
+        if not self._is_turn_due and self.input.pending and not self._is_busy():
             if is_complete:
                 self._incomplete_since_us = self._incomplete_since_us or now_us()
             else:
@@ -160,7 +155,7 @@
         for _ in range(MAX_MESSAGES_PER_TURN):
             if self._is_turn_due or self._is_busy() or self.ending.discards:
                 return False
-            message = self._reader.take()
+            message = self.input.take()
             if message is None:
                 return True
             self._incomplete_since_us = 0
@@ -189,7 +184,7 @@
         match pg.startup(message):
             case pg.Startup():
                 self._is_started = True
-                self._reader.end_startup()
+                self.input.end_startup()
                 self._queue_answer(answers.GREETING)
             case pg.Cancel():
                 self.end(b"")
@@ -207,17 +202,19 @@
         elif self.stream.closed() or (self._is_read_blocked and self.stream.peer_has_ended()):
             self._flush()
             self.close()  # what the client sent before it left must not be submitted
+        elif not self._held.may_hold_request(len(text)):
+            self._queue_answer(answers.refusal(0))
         else:
             try:
                 statement = self._handler.parse_query(text)
-                query = Query(self, statement, self._arrival_times.last_byte_us(self._reader.pending))
+                query = Query(self, statement, self.input.last_byte_us(), HeldRequest(self._held, len(text)))
             except StatementError as error:
                 self._answer_mistake(answers.error(error.sqlstate, str(error)))
                 return
             expedited = self._pipeline.add(query)
             if isinstance(expedited, Query):
                 self._handler.expedite_query(expedited)
-            if self._reader.pending:
+            if self.input.pending:
                 self._schedule_turn()
             self._submit(query)
 
@@ -283,6 +280,7 @@
         while not self.stream.writing() and (data := self._pipeline.take_ready()):
             self.last_answer_us = now_us()
             self.write(data)
+        self._held_answers.set(self.held_answer_bytes)
 
     def answered(self, query: Query, final: Final) -> None:
         """Send a query's final answer."""
@@ -299,7 +297,7 @@
         for command in released:
             if isinstance(command, Query):
                 self._submit(command)
-        if not self.closed and (self._reader.pending or not self.ending.accepts_requests):
+        if not self.closed and (self.input.pending or not self.ending.accepts_requests):
             self._schedule_turn()
 
     def write(self, data: bytes) -> None:
@@ -313,14 +311,21 @@
             return
         if self.stream.writing():
             self._unsent_since_us = self._unsent_since_us or now_us()
+            self._unsent_bytes = len(data)
+            self._held_answers.set(self.held_answer_bytes)
             written.add_done_callback(self._on_written)
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """The bytes of answers that wait for those before them, or are not taken by the client."""
+        return self._pipeline.waiting_bytes + self._unsent_bytes
+
     def _on_written(self, written: "asyncio.Future[None]") -> None:
         """Continue after a write; close if it failed, since a reader that is blocked would not notice the failure."""
         if written.cancelled() or written.exception() is not None:
             self.close()
         elif not self.stream.writing():
-            self._unsent_since_us = 0
+            self._unsent_since_us = self._unsent_bytes = 0
             self._flush()
             self._request_turn()
 
@@ -332,7 +337,7 @@
             self._queue_answer(data)
             self._flush()
         self.ending.drain(ignores_input=True)
-        self._reader.clear()
+        self.input.clear()
         self._may_read.set()
 
     def drain(self) -> None:
@@ -345,16 +350,18 @@
         self.ending.close()
 
     def _on_closed(self) -> None:
-        self._reader.clear()
+        self.input.clear()
         self._may_read.set()
+        self._unsent_bytes = 0
         for command in self._pipeline.clear():
             if isinstance(command, Query):
                 self._handler.abandon_query(command)
+        self._held_answers.set(self.held_answer_bytes)
         self._owner.client_closed(self)
 
     def idle_since_us(self) -> int | None:
         """Since when no query is open and nothing is being transferred; None if busy or ending."""
-        if self.has_pending or not self.ending.accepts_requests or self._reader.pending or self._is_busy():
+        if self.has_pending or not self.ending.accepts_requests or self.input.pending or self._is_busy():
             return None
         if not self.stream.is_idle():
             return None
--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -12,6 +12,7 @@
 from oatlink.platform.clients import answers
 from oatlink.platform.clients.connection import READ_CHUNK_BYTES, Client
 from oatlink.platform.clients.query import QueryHandler
+from oatlink.platform.memory import LARGE_BYTES, HeldBytes
 from oatlink.transport.turns import InputTurns
 
 BACKLOG = 512  # connections that wait in the kernel
@@ -37,8 +38,12 @@
         turn_clock: TurnClock,
         track_task: Callable[["asyncio.Future[None]"], None],
         note: Callable[[str], None],
+        held: HeldBytes,
     ) -> None:
         self._sock, self._handler, self._turn_clock, self._note = sock, handler, turn_clock, note
+        self._held = held
+        # In the order in which their present messages began, with the number of messages before them.
+        self._large_inputs: dict[Client, int] = {}
         self._track_task = track_task
         self._input_turns = InputTurns(turn_clock)
         self._max_ending = max(2, max_descriptors // DESCRIPTORS_PER_ENDING)
@@ -46,7 +51,7 @@
         self.active: dict[Client, None] = {}  # in the order of their accepts
         self._ending: dict[Client, None] = {}  # in the order in which they began to end
         self._is_listening = self.stopping = False
-        self._turned_away_count = 0  # since the last sweep
+        self._turned_away_count = self._memory_ended_count = 0  # since the last sweep
         self._search_paused_until_us = 0
         self.address: tuple[str, int] = sock.getsockname()[:2]
 
@@ -85,13 +90,42 @@
             read_chunk_size=READ_CHUNK_BYTES,
         )
         stream.set_nodelay(True)
-        client = Client(stream, self._handler, self, self._input_turns)
+        client = Client(stream, self._handler, self, self._input_turns, self._held)
         self.active[client] = None
         self._track_task(asyncio.ensure_future(client.run()))
         return client
 
+    def input_received(self, client: Client) -> None:
+        """See `ClientOwner`.
+
+        Ends the connections that have held much input for longest, then those with the most bytes of answers. Prevents
+        hundreds of clients that stop in the middle of a large request, or send it slowly, from using more memory than
+        the process has.
+        """
+        if client.input.is_large:
+            self._large_inputs.setdefault(client, client.input.taken_count)
+        while self._held.is_over and (holder := self._holder_to_end()) is not None:
+            self._memory_ended_count += 1
+            if holder.input.is_large:
+                holder.end(answers.OUT_OF_MEMORY)
+                self._mark_ending(holder)
+            else:
+                holder.close()
+
+    def _holder_to_end(self) -> Client | None:
+        while self._large_inputs:
+            holder, taken_count = next(iter(self._large_inputs.items()))
+            if holder.input.is_large and holder.input.taken_count == taken_count:
+                return holder
+            del self._large_inputs[holder]
+            if holder.input.is_large:  # the message that was large has been completed
+                self._large_inputs[holder] = holder.input.taken_count
+        most = max(self.active, key=lambda client: client.held_answer_bytes, default=None)
+        return most if most is not None and most.held_answer_bytes > LARGE_BYTES else None
+
     def client_closed(self, client: Client) -> None:
         """See `ClientOwner`."""
+        self._large_inputs.pop(client, None)
         self.active.pop(client, None)
         self._ending.pop(client, None)
 
@@ -169,6 +203,9 @@
         if self._turned_away_count:
             self._note(f"clients turned away: {self._turned_away_count}, {len(self.active)} connections")
             self._turned_away_count = 0
+        if self._memory_ended_count:
+            self._note(f"clients ended for memory: {self._memory_ended_count}, {self._held.used} bytes are held")
+            self._memory_ended_count = 0
         self._relieve_pressure(at_us)
         for client in list(self.active):
             if self.stopping:
--- a/oatlink/platform/clients/pipeline.py
+++ b/oatlink/platform/clients/pipeline.py
@@ -114,14 +114,14 @@
 class Pipeline:
     """The commands of one connection whose answers have not been handed out yet, in order."""
 
-    __slots__ = ("_limits", "_queue", "_resources", "_shared_used", "_waiting_bytes", "unanswered")
+    __slots__ = ("_limits", "_queue", "_resources", "_shared_used", "waiting_bytes", "unanswered")
 
     def __init__(self, limits: PipelineLimits) -> None:
         self._limits = limits
         self.unanswered: dict[Command, None] = {}
         self._queue: list[Command] = []
         self._resources: dict[bytes, _ResourceUsers] = {}
-        self._waiting_bytes = 0  # of answers in the queue
+        self.waiting_bytes = 0  # of answers in the queue
         self._shared_used = 0  # this connection's part of the shared limit
 
     def __len__(self) -> int:
@@ -132,7 +132,7 @@
         """Whether another command may be added."""
         limits = self._limits
         return not self.unanswered or (
-            len(self._queue) < limits.per_connection and self._waiting_bytes < MAX_WAITING_BYTES and not limits.is_full
+            len(self._queue) < limits.per_connection and self.waiting_bytes < MAX_WAITING_BYTES and not limits.is_full
         )
 
     def add(self, command: Command) -> Command | None:
@@ -159,14 +159,14 @@
             last.answer += data  # thousands of these behind one unanswered request take a single place
         else:
             self._queue.append(Command(0, answer=data))
-        self._waiting_bytes += len(data)
+        self.waiting_bytes += len(data)
 
     def answer(self, command: Command, data: bytes) -> list[Command]:
         """Record a command's answer and return the commands that may be submitted now."""
         if command not in self.unanswered:
             return []
         command.answer = data
-        self._waiting_bytes += len(data)
+        self.waiting_bytes += len(data)
         del self.unanswered[command]
         for resource in command.resources:
             if resource in self._resources and self._resources[resource].leave(command):
@@ -183,7 +183,7 @@
                 break
             del self._queue[0]
             data += answer
-        self._waiting_bytes -= len(data)
+        self.waiting_bytes -= len(data)
         self._update_shared_use()
         return data
 
@@ -193,7 +193,7 @@
         self.unanswered.clear()
         self._queue.clear()
         self._resources.clear()
-        self._waiting_bytes = 0
+        self.waiting_bytes = 0
         self._update_shared_use()
         return unanswered
 
--- a/oatlink/platform/clients/query.py
+++ b/oatlink/platform/clients/query.py
@@ -4,6 +4,7 @@
 
 from oatlink.gateway.clock import Stream
 from oatlink.platform.clients.pipeline import Command, PipelineLimits
+from oatlink.platform.memory import HeldRequest
 from oatlink.platform.requests import Final
 from oatlink.platform.statement import Statement
 
@@ -50,12 +51,12 @@
 class Query(Command):
     """A query of a client, from its last byte to its answer."""
 
-    __slots__ = ("client", "statement")
+    __slots__ = ("client", "statement", "_held")
 
-    def __init__(self, client: QueryClient, statement: Statement, arrived_us: int) -> None:
+    def __init__(self, client: QueryClient, statement: Statement, arrived_us: int, held: HeldRequest) -> None:
         resources = (b"name " + statement.session.encode(), b"key " + statement.key if statement.key else b"")
         super().__init__(arrived_us, tuple(filter(None, resources)), statement.is_write)
-        self.client, self.statement = client, statement
+        self.client, self.statement, self._held = client, statement, held
 
     def answered(self, final: Final) -> None:
         """See `requests.Owner`."""
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import resource
 import signal
 import socket
 from collections import deque
@@ -23,6 +24,7 @@
 from oatlink.platform.config import Config
 from oatlink.platform.discovery import Discovery, News
 from oatlink.platform.jobs import AttemptJob, CheckJob
+from oatlink.platform.memory import HeldBytes
 from oatlink.platform.reload import Reload
 from oatlink.platform.reply import Answer, parse_load_report
 from oatlink.platform.servers import Bounds, Servers
@@ -59,13 +61,14 @@
         self._deadline_timer = Timer(self._expire)  # for the earliest deadline of an open request
         self._router_timer = Timer(self._router_timer_fired)
         self._router_timer_set = api.SetTimer("", 0)  # last, to an earlier time or once it had fired
-        self._budget = Budget.of(config.limits)
+        self._budget = Budget.of(config.limits, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024)
         bounds = Bounds(config.dial_s, config.idle_s, self._budget.server_connections)
         self._servers = Servers(bounds, self._turn_clock, self.note, self._track_task)
         self.pipeline_limits = PipelineLimits(0, 0)
         self._budget.update_pipeline(self.pipeline_limits, config.settings.max_open)
         max_clients = self._budget.client_connections
-        self._clients = Clients(sock, max_clients, self, self._turn_clock, self._track_task, self.note)
+        held = HeldBytes(self._budget.held_bytes)
+        self._clients = Clients(sock, max_clients, self, self._turn_clock, self._track_task, self.note, held)
         self._discovery = Discovery(config.discovery, config.watch_s, self._on_news, self.note)
         self._sweep_task: asyncio.Task[None] | None = None
         self._awaits_first_list = False
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -10,6 +10,7 @@
 from oatlink.gateway.clock import TurnClock
 from oatlink.interface import Effect, Freshness, RequestClass
 from oatlink.platform.clients import Client, Clients, PipelineLimits, Query
+from oatlink.platform.memory import HeldBytes
 from oatlink.platform.requests import Final
 from oatlink.platform.statement import Statement, StatementError
 from oatlink.protocols import pgwire as pg
@@ -151,7 +152,10 @@
         sock.bind(("127.0.0.1", 0))
         sock.listen(512)
         sock.setblocking(False)
-        self.clients = Clients(sock, max_descriptors, self.handler, TurnClock(), self._track_task, lambda text: None)
+        self.held = HeldBytes(None)
+        self.clients = Clients(
+            sock, max_descriptors, self.handler, TurnClock(), self._track_task, lambda text: None, self.held
+        )
         self.address = sock.getsockname()
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: self.faults.append(context))
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,7 @@
         "test_gateway_crossings",
         "test_lateness",
         "test_links",
+        "test_memory_limits",
         "test_native",  # compiles on all cores
         "test_operators",
         "test_paths",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -47,6 +47,7 @@
         self.copies = False
         self.copy_delay_s: float | None = None
         self.work_s = 0.0
+        self.value_bytes = 0  # values are padded to this length
         self.statements: list[bytes] = []
         self.checks = self.connections = self.open = 0
         self.release = asyncio.Event()
@@ -126,7 +127,12 @@
             return True
         self.statements.append(text)
         mode = self._next_mode()
-        good = row(b"value of " + text.split(b"'")[1]) + role_status + pg.make_status("lsn_ms", "17").encode() + READY
+        good = (
+            row((b"value of " + text.split(b"'")[1]).ljust(self.value_bytes, b"."))
+            + role_status
+            + pg.make_status("lsn_ms", "17").encode()
+            + READY
+        )
         await asyncio.sleep(self.work_s)
         if mode == "held":  # answered once `release` is set
             await self.release.wait()
@@ -268,7 +274,9 @@
             for number, server in enumerate(self.servers)
         ]
 
-    def write(self, discovery: str, sockets: int = 256, settings: dict[str, Any] = OPTIONS) -> None:
+    def write(
+        self, discovery: str, sockets: int = 256, settings: dict[str, Any] = OPTIONS, memory_mb: float = 0.0
+    ) -> None:
         """Replace the configuration file atomically."""
         host, port = self.address
         known = {"version": 0, "full": True, "servers": self.entries()}
@@ -277,7 +285,7 @@
             "listen": f"{host}:{port}",
             "discovery": discovery,
             "seed": "5",
-            "limits": {"sockets": sockets},
+            "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "known": known,
             "settings": settings,
         }
@@ -369,7 +377,12 @@
 
 @contextlib.asynccontextmanager
 async def open_world(
-    folder: Path, replicas: int = 2, sockets: int = 256, running: bool = True, settings: dict[str, Any] = OPTIONS
+    folder: Path,
+    replicas: int = 2,
+    sockets: int = 256,
+    running: bool = True,
+    settings: dict[str, Any] = OPTIONS,
+    memory_mb: float = 0.0,
 ) -> AsyncIterator[World]:
     """Open a gateway with one primary and `replicas` replicas."""
     async with contextlib.AsyncExitStack() as stack:
@@ -377,7 +390,7 @@
         discovery = await stack.enter_async_context(Discovery())
         opened = World(folder, servers, discovery)
         discovery.entries = opened.entries()
-        opened.write(discovery.address, sockets, settings)
+        opened.write(discovery.address, sockets, settings, memory_mb)
         if running:
             await opened.start()
         try:
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -147,7 +147,7 @@
     peer, client = await world.start_client()
     text = query(b"a query")
     peer.send(text[:7])
-    await world.until(lambda: client._reader.pending == 7)
+    await world.until(lambda: client.input.pending == 7)
     world.clients.stop()
     assert client.ending.state is State.DRAINING
     if is_completed:
@@ -178,7 +178,7 @@
     for _ in range(MAX_QUERY_BYTES // len(big_query) + 6):
         peer.send(big_query)
         await asyncio.sleep(0)
-    await world.until(lambda: client._reader.pending > MAX_QUERY_BYTES)
+    await world.until(lambda: client.input.pending > MAX_QUERY_BYTES)
     peer.sock.close()
     if is_answered:  # before any sweep
         world.handler.answer(client)
@@ -266,7 +266,7 @@
     await world.until_submitted(1)
     loop = asyncio.get_running_loop()
     await asyncio.wait_for(loop.sock_sendall(peer.sock, behind), 10)
-    await world.until(lambda: (client._reader.pending > MAX_QUERY_BYTES) == bool(behind))
+    await world.until(lambda: (client.input.pending > MAX_QUERY_BYTES) == bool(behind))
     world.handler.answer(client)
     assert client.stream.writing()
     peer.reset() if how == "reset" else peer.sock.close()
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -136,7 +136,7 @@
 
     def count_message(client: Client, message: pg.Message) -> None:
         if client.has_submitted:
-            handled_before.append(sum(not each._reader.pending for each in world.clients.active) - 1)
+            handled_before.append(sum(not each.input.pending for each in world.clients.active) - 1)
         handle_message(client, message)
 
     world.handler.answers_at_once = True
