Read on behind waiting commands, so that a client's close is noticed; refuse the excess

Cause: reading stopped at 133 KB behind commands that wait; the close stays behind what the kernel can't deliver, so nothing showed it. Change: reading goes on; queries beyond that are refused in order, and a client with 512 KB of such refusals ends. A command that waited is not executed if the socket shows a close.

--- a/oatlink/platform/clients/answers.py
+++ b/oatlink/platform/clients/answers.py
@@ -34,4 +34,5 @@
 FAILED = error("58000", "failed")
 TOO_MANY_CONNECTIONS = pg.make_error("53300", "too many connections, try again", "FATAL").encode()
 QUERY_TIMEOUT = pg.make_error("57P05", "expected a whole query by now", "FATAL").encode()
+TOO_MANY_QUERIES = pg.make_error("53300", "too many queries at once, try again", "FATAL").encode()
 OUT_OF_MEMORY = pg.make_error("53300", "out of memory for large queries, try again", "FATAL").encode()
--- a/oatlink/platform/clients/connection.py
+++ b/oatlink/platform/clients/connection.py
@@ -13,7 +13,7 @@
 from oatlink.platform.clients import answers
 from oatlink.platform.clients.input import Input
 from oatlink.platform.clients.owner import ClientOwner
-from oatlink.platform.clients.pipeline import Pipeline
+from oatlink.platform.clients.pipeline import MAX_WAITING_BYTES, Pipeline
 from oatlink.platform.clients.query import Query, QueryHandler
 from oatlink.platform.memory import HeldBytes, HeldPart, HeldRequest
 from oatlink.platform.requests import Final
@@ -31,6 +31,7 @@
 MAX_MESSAGES_PER_TURN = 16  # of one client that are handled at once; others have their turn before it goes on
 MAX_MISTAKES = 4  # statements that cannot be parsed, per connection; then it is closed
 MISTAKE_PAUSE_S = 0.05  # times the count of mistakes, so that a client that repeats one takes no time from others
+MAX_REFUSAL_BYTES = 2 * MAX_WAITING_BYTES  # of answers that wait while queries behind them are refused
 LOCAL_COMMANDS = frozenset((b"SET", b"RESET", b"DISCARD"))  # answered here, since connections have no session state
 
 
@@ -57,6 +58,7 @@
         self._is_paused = False
         self._skips_until_sync = False  # after a mistake in the extended protocol
         self._is_read_blocked = False  # nothing is read, so a close of the client may lie behind unread input
+        self._has_backlog = False  # messages wait for earlier ones; the client may have left since it sent them
         self._is_turn_due = False  # it has asked for its turn to handle messages
         self._may_read = asyncio.Event()
 
@@ -98,11 +100,10 @@
     def _has_enough_input(self) -> bool:
         """Whether reading has to wait: messages are to be handled first.
 
-        While no message may be handled, reading goes on to notice a close, but only up to about one message.
+        While no message may be executed, reading goes on all the same. A close of the client cannot be noticed while it
+        lies behind bytes that were not read, and what the client sent before it would be executed after it has left.
         """
-        return self.input.pending > 0 and (
-            (self._is_turn_due and not self.ending.discards) or (self.input.exceeds_read_ahead and self._is_busy())
-        )
+        return self.input.pending > 0 and self._is_turn_due and not self.ending.discards
 
     def _handle_input(self, data: bytes) -> None:
         if self.ending.discards:
@@ -118,6 +119,10 @@
             not self._pipeline.has_capacity or self._is_paused or self.stream.writing()
         )
 
+    def _must_refuse(self) -> bool:
+        """Whether the next query is refused unexecuted: it has to wait, and too much is received behind it."""
+        return not self.ending.discards and self.input.exceeds_read_ahead and self._is_busy()
+
     def _has_pending_answers(self) -> bool:
         """Whether something is still to be answered: a query, or one that is partly received or may be arriving."""
         if self.has_pending or self.ending.discards:
@@ -137,7 +142,7 @@
             self.end(pg.refusal(error).encode())
             is_complete = True
         self._flush()
-        if not self._is_turn_due and self.input.pending and not self._is_busy():
+        if not self._is_turn_due and self.input.pending and (not self._is_busy() or self._must_refuse()):
             if is_complete:
                 self._incomplete_since_us = self._incomplete_since_us or now_us()
             else:
@@ -153,13 +158,18 @@
         Raises `ProtocolError`.
         """
         for _ in range(MAX_MESSAGES_PER_TURN):
-            if self._is_turn_due or self._is_busy() or self.ending.discards:
+            must_refuse = self._must_refuse()
+            if self._is_turn_due or self.ending.discards or (self._is_busy() and not must_refuse):
+                self._has_backlog = self.input.pending > 0
                 return False
             message = self.input.take()
             if message is None:
+                self._has_backlog = False
                 return True
             self._incomplete_since_us = 0
             self._handle_message(message)
+            if must_refuse and self._pipeline.waiting_bytes > MAX_REFUSAL_BYTES:
+                self.end(answers.TOO_MANY_QUERIES)
         return False
 
     def _handle_message(self, message: pg.Message) -> None:
@@ -197,9 +207,9 @@
             self._queue_answer(answers.EMPTY_QUERY)  # no request: a client that sends only these counts as silent
         elif words[0].upper() in LOCAL_COMMANDS:
             self._queue_answer(pg.make_complete(words[0].upper()).encode() + answers.READY)
-        elif not self.ending.accepts_requests:
+        elif not self.ending.accepts_requests or self._is_busy():
             self._queue_answer(answers.refusal(0))  # the client may retry at once on another connection
-        elif self.stream.closed() or (self._is_read_blocked and self.stream.peer_has_ended()):
+        elif self.stream.closed() or ((self._is_read_blocked or self._has_backlog) and self.stream.peer_has_ended()):
             self._flush()
             self.close()  # what the client sent before it left must not be submitted
         elif not self._held.may_hold_request(len(text)):
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -167,3 +167,25 @@
     assert (await first.answer() or "").startswith("value of first")
     second.send(query(b"again".ljust(size)))
     await world.until_submitted(3)
+
+
+@scene(listener_world)
+async def test_answers_that_wait_behind_a_hanging_query_count_and_their_client_is_ended_beyond_the_limit(
+    world: ListenerWorld,
+) -> None:
+    world.held.limit = 60_000
+    peers = [(await world.start_client())[0] for _ in range(2)]
+    for peer, name in zip(peers, (b"usual", b"flood"), strict=True):
+        peer.send(query(name))
+    await world.until_submitted(2)
+    peers[0].send(query(b"") * 200)
+    flooding = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(peers[1].sock, query(b"") * 40_000))
+    await world.until(lambda: len(world.clients.active) == 1)
+    await asyncio.wait([flooding])
+    assert flooding.exception() is None or isinstance(flooding.exception(), ConnectionError)
+    assert world.held.used <= world.held.limit
+    world.handler.answer(b"usual")
+    assert await peers[0].answer() == "value of usual"
+    assert [await peers[0].answer() for _ in range(200)] == [""] * 200
+    world.handler.answer(b"flood")
+    await world.until(lambda: world.held.used == 0)
