Platform gateway: the list of servers has a module of its own

Need: gateway.py had grown to 420 lines and kept numbers, groups and entries of the list beside clients, servers and timers. Change: platform/server_list.py applies discovery's news to the pools; gateway.py 392 lines; behaviour unchanged. Measured: 57 tests of the platform's sockets, crossings, lists and reloads pass; mypy and ruff clean.

--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -27,6 +27,7 @@
 from oatlink.platform.memory import HeldBytes
 from oatlink.platform.reload import Reload
 from oatlink.platform.reply import Answer, parse_load_report
+from oatlink.platform.server_list import ServerList
 from oatlink.platform.servers import Bounds, Servers
 from oatlink.platform.state_line import summarize_members
 from oatlink.platform.statement import Statement, StatementError, parse
@@ -52,9 +53,6 @@
         self._requests = req.Requests(self._router)
         self._actions: deque[req.GatewayAction] = deque()
         self._is_carrying_out = False
-        self._numbers = req.MemberNumbers()
-        self._groups: set[int] = set()
-        self._entries: dict[int, api.RosterEntry] = {}
         self._requests_by_query: dict[Query, req.Open] = {}
         self._sending: dict[int, AttemptJob] = {}
         self._checks: dict[int, CheckJob] = {}
@@ -64,6 +62,7 @@
         self._budget = Budget.of(config.limits, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024)
         bounds = Bounds(config.dial_s, config.idle_s, self._budget.server_connections)
         self._servers = Servers(bounds, self._turn_clock, self.note, self._track_task)
+        self._list = ServerList(self._servers, self._unix_clock)
         self.pipeline_limits = PipelineLimits(0, 0)
         self._budget.update_pipeline(self.pipeline_limits, config.settings.max_open)
         max_clients = self._budget.client_connections
@@ -150,7 +149,7 @@
     def _log_state(self) -> None:
         """Log the gateway's state. Members with nothing open are only counted."""
         in_use = [pool.number for pool in self._servers.active]
-        members = summarize_members(self._router, self._numbers, in_use)
+        members = summarize_members(self._router, self._list.numbers, in_use)
         LOG.info(
             "state: %s; requests %d, clients %d (%d idle), to servers %d; %s, %d more",
             self._answers.take_summary(),
@@ -159,7 +158,7 @@
             self._clients.idle_count,
             self._servers.open_count,
             ", ".join(members) or "none",
-            max(0, len(self._entries) - len(members)),
+            max(0, len(self._list) - len(members)),
         )
 
     def note(self, text: str) -> None:
@@ -228,43 +227,17 @@
         if news is None:
             self._carry_out_all(self._requests.handle(api.Roster(RosterKind.FAILED), now_us()))
             return
-        entries = []
-        for server in news.servers:
-            number = self._numbers.number_for(server.id)
-            if server.listing is not api.Listing.GONE:
-                self._servers.set_address(number, server.address)
-                self._groups.add(server.group)
-            started_us = self._unix_clock.to_clock_us(server.started_ms * 1000) if server.started_ms else 0
-            entry = server.entry(number, started_us)
-            self._entries[number] = entry
-            entries.append(entry)
-        unread = (self._numbers.number_for(name) for name in news.unread)
-        entries += [known for number in unread if (known := self._entries.get(number)) is not None]
-        self._carry_out_all(self._requests.handle(api.Roster(news.kind, tuple(entries)), now_us()))
-        for entry in entries:  # jobs that wait for a connection to this member were sent on the basis of an older list
-            pool = self._servers.pool(entry.member)
-            if pool is not None:
-                pool.recheck_waiting()
-        self._forget_missing({entry.member for entry in entries}, news.kind is not RosterKind.CHANGES)
-
-    def _forget_missing(self, listed: set[int], is_whole: bool) -> None:
-        """Forget members that have left, unless the settings say that members dropped from the list stay open."""
-        if self._config.settings.dropped_stay_open:
-            return
-
-        def stays(number: int) -> bool:
-            entry = self._entries.get(number)
-            return entry is not None and entry.listing is not api.Listing.GONE and (not is_whole or number in listed)
-
-        for number in self._numbers.retain(stays):
-            self._entries.pop(number, None)
-            self._servers.remove(number)
+        roster = self._list.apply(news)
+        self._carry_out_all(self._requests.handle(roster, now_us()))
+        self._list.recheck_waiting(roster)
+        if not self._config.settings.dropped_stay_open:
+            self._list.forget_missing(roster)
 
     # ---- Clients ----
 
     def parse_query(self, text: bytes) -> Statement:
         """See `QueryHandler`."""
-        return parse(text, self._classes, self._groups)
+        return parse(text, self._classes, self._list.groups)
 
     def submit_query(self, query: Query) -> None:
         """See `QueryHandler`."""
