After a stop the time of requests counts from their arrival, as the kernel knows it

Cause: a request's time counts from the turn in which it was read, and an idle loop's turn begins when it wakes (gateway/clock.py); also for connections taken after the stop. Failed before: test_the_time_of_a_request_that_comes_while_the_process_is_stopped, on an open and on a new connection.

--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -3,12 +3,17 @@
 A busy event loop handles input long after it arrived. Each iteration ("turn") of the loop is timed at its beginning,
 just before it polls. What a poll finds had arrived by then, so it has waited at least since that time. A loop that
 was idle has no such time: there, input is handled at once.
+
+An exception is a process that was stopped while its loop was idle. A loop with a heartbeat, something that it does at
+least so often, notices that it was idle for longer. Until it is idle again, the kernel is asked when the input of each
+connection arrived. Otherwise time limits would count from the end of the stop.
 """
 
 import asyncio
 import contextlib
 import select
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import AsyncIterator
@@ -17,6 +22,9 @@
 from tornado.iostream import IOStream
 
 CLIENTS_PER_TURN = 64  # about 10 ms of work
+STALL_MARGIN_US = 100_000  # a loop that was idle for longer than its heartbeat by this was stopped meanwhile
+# Of `struct tcp_info` in the kernel's linux/tcp.h: eight bytes, then numbers of 32 bits.
+TCP_INFO_LAST_DATA_OFFSET_BYTES = 8 + 11 * 4  # of `tcpi_last_data_recv`, in milliseconds before now
 LATE_TIMER_S = 0.01  # a timer that fires later than this was delayed by a stall of this process
 
 
@@ -38,7 +46,11 @@
     and each answer takes two turns.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_us: int | None = None) -> None:
+        """`heartbeat_us`: how often at least `turn_began_us` is called; None if that is not known."""
+        self._heartbeat_us = heartbeat_us
+        self._idle_since_us = 0
+        self.stalled_since_us = 0  # when the process was stopped, until the loop is idle again; 0 if it was not
         self._admitted_count = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._began_us = 0
@@ -52,6 +64,7 @@
         if not self._is_timing:
             self._is_timing = True
             self._began_us = self.previous_began_us = now_us()
+            self._detect_stall()
             asyncio.get_running_loop().call_soon(self._begin_turn)
         return self._began_us
 
@@ -70,7 +83,15 @@
             asyncio.get_running_loop().call_soon(self._begin_turn)
         else:
             self._is_timing = False
-            self._admitted_count = 0
+            self._admitted_count = self.stalled_since_us = 0
+            self._idle_since_us = now_us()
+
+    def _detect_stall(self) -> None:
+        if self._heartbeat_us is None or not self._idle_since_us:
+            return
+        due_us = self._idle_since_us + self._heartbeat_us
+        if self._began_us > due_us + STALL_MARGIN_US:
+            self.stalled_since_us = due_us
 
     @property
     def waiting_count(self) -> int:
@@ -159,8 +180,21 @@
             )
             if self._is_handling_poll:
                 self.arrived_after_us = self._turn_clock.previous_began_us
+            if self._turn_clock.stalled_since_us:
+                self.arrived_by_us = min(self.arrived_by_us, self._last_data_us())
         return received
 
+    def _last_data_us(self) -> int:
+        """When the kernel received the last data of this connection; now if it does not tell."""
+        at_us = now_us()
+        try:
+            size = TCP_INFO_LAST_DATA_OFFSET_BYTES + 4
+            information = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+            age_ms: int = struct.unpack_from("=I", information, TCP_INFO_LAST_DATA_OFFSET_BYTES)[0]
+        except (OSError, AttributeError, struct.error):
+            return at_us
+        return max(self._turn_clock.stalled_since_us, at_us - age_ms * 1_000)
+
 
 @contextlib.asynccontextmanager
 async def timeout_excluding_stalls(seconds: float) -> AsyncIterator[None]:
--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -47,7 +47,7 @@
         self._config = config
         self._unix_clock = UnixClock()
         self._tasks: set[asyncio.Future[None]] = set()
-        self._turn_clock = TurnClock()
+        self._turn_clock = TurnClock(round(SWEEP_S * 1e6))
         self._classes = {rule.name: rule for rule in config.settings.classes}
         self._router = Router(config.settings)
         self._requests = req.Requests(self._router)
@@ -132,6 +132,7 @@
         sweep_count = 0
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._turn_clock.turn_began_us()
             sweep_count += 1
             try:
                 if sweep_count % round(STATE_LOG_INTERVAL_S / SWEEP_S) == 0:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -37,6 +37,7 @@
         "test_recording",
         "test_reload",
         "test_standins",
+        "test_stopped_process",
         "test_surplus_answers",
     )
 )
