At a stop no connections are taken that come after it, at both gateways

Cause: the loop that takes the waiting connections before the listener closes ended only when none was left (platform/clients/listener.py, gateway/clients.py). Failed before: test_a_stop_takes_the_connections_that_wait (61 of at most 21). tests/test_hand_over.py and the stand-in of benchmarks/scale answer empty queries now, as the protocol says, the first only once it has read the statement.

--- a/benchmarks/scale/slopes/servers.py
+++ b/benchmarks/scale/slopes/servers.py
@@ -7,10 +7,12 @@
 
 from benchmarks.scale.measure import Measurement, Values
 from benchmarks.scale.slopes.child import Child
+from oatlink.platform.reply import FENCE
 from oatlink.platform.servers import CHECK
 from oatlink.protocols import pgwire as pg
 
 READY = pg.make_ready().encode()
+FENCE_ANSWER = pg.Message(b"I", b"").encode() + READY
 GREETING = pg.make_authentication(0).encode() + READY
 REPORT = (
     pg.make_columns((b"health",), (17,)).encode()
@@ -44,8 +46,8 @@
             (size,) = struct.unpack("!i", await reader.readexactly(4))
             await reader.readexactly(size - 4)
             writer.write(GREETING)
-            while await reader.readexactly(len(CHECK)):
-                writer.write(REPORT)
+            while await reader.readexactly(len(FENCE) + len(CHECK)):
+                writer.write(FENCE_ANSWER + REPORT)
         writer.close()
 
 
--- a/oatlink/gateway/clients.py
+++ b/oatlink/gateway/clients.py
@@ -12,6 +12,7 @@
 
 from oatlink.gateway.clock import Stream
 from oatlink.gateway.links import READ_CHUNK_BYTES, consume_write_error
+from oatlink.gateway.listeners import LISTEN_BACKLOG
 from oatlink.transport.closing import State
 from oatlink.transport.ending import Ending
 
@@ -101,10 +102,10 @@
 
 
 def accept_queued(sock: socket.socket, accept: Callable[[socket.socket, object], None]) -> None:
-    """Accept the connections in the kernel's queue.
+    """Accept the connections in the kernel's queue, but none that come later.
 
     Prevents them from being reset, with the commands that they have sent, when the listener closes.
     """
     with contextlib.suppress(OSError):
-        while True:
+        for _ in range(LISTEN_BACKLOG + 1):
             accept(*sock.accept())
--- a/oatlink/platform/clients/listener.py
+++ b/oatlink/platform/clients/listener.py
@@ -217,8 +217,10 @@
     def stop(self) -> None:
         """Accept no more connections, and end each one once everything received on it is answered."""
         if not self.stopping:
-            while self._is_listening and self._accept():  # those in the kernel would be reset when the listener closes
-                pass
+            if self._is_listening:
+                # All that the kernel holds now, which would be reset when the listener closes. Later ones are
+                # not taken: clients that come again at once would keep this loop busy without end.
+                self._accept(BACKLOG + 1)
             self.stopping = True
             asyncio.get_running_loop().remove_reader(self._sock.fileno())
             self._sock.close()
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -5,9 +5,11 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
+from oatlink.gateway import clients as gateway_clients
 from oatlink.platform.clients import connection, listener
 from oatlink.platform.statement import MAX_QUERY_BYTES
 from oatlink.transport import ending
@@ -166,6 +168,47 @@
     assert not world.handler.submitted
 
 
+@scene(listener_world)
+async def test_a_stop_takes_the_connections_that_wait_and_no_others(
+    world: ListenerWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against clients that come again at once: a stop took them without end (review, seen-2/stop_flood.py)."""
+    taken: list[connection.Client] = []
+    add_client = listener.Clients._add_client
+
+    def come_again(clients: listener.Clients, sock: socket.socket) -> connection.Client:
+        if len(taken) < 3 * listener.BACKLOG:
+            world.connect()
+        taken.append(add_client(clients, sock))
+        return taken[-1]
+
+    monkeypatch.setattr(listener, "BACKLOG", 20)
+    monkeypatch.setattr(listener.Clients, "_add_client", come_again)
+    world.connect()
+    world.clients.stop()
+    assert world.clients.stopping and 0 < len(taken) <= listener.BACKLOG + 1
+
+
+def test_the_resp_gateway_takes_as_many_connections_at_its_stop_as_may_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the RESP gateway against the same: here one connection comes for each that is taken."""
+    monkeypatch.setattr(gateway_clients, "LISTEN_BACKLOG", 3)
+    taken: list[socket.socket] = []
+    with socket.create_server(("127.0.0.1", 0), backlog=10) as server, contextlib.ExitStack() as sockets:
+        server.setblocking(False)
+
+        def come() -> None:
+            sockets.enter_context(socket.create_connection(server.getsockname()))
+
+        def accept(sock: socket.socket, _: object) -> None:
+            taken.append(sockets.enter_context(sock))
+            if len(taken) < 20:
+                come()
+
+        come()
+        gateway_clients.accept_queued(server, accept)
+    assert len(taken) == 3 + 1
+
+
 @pytest.mark.parametrize("is_answered", [False, True])
 @scene(listener_world)
 async def test_a_client_that_leaves_behind_more_input_than_is_read_is_noticed(
--- a/tests/test_hand_over.py
+++ b/tests/test_hand_over.py
@@ -13,7 +13,7 @@
 from oatlink.platform.reply import Answer
 from oatlink.platform.servers import Bounds, Pool, Servers
 from oatlink.protocols import pgwire as pg
-from tests.platform_world import PATIENCE_S, Server
+from tests.platform_world import EMPTY, PATIENCE_S, READY, Server
 from tests.scenes import scene
 
 QUERY = pg.make_query(b"SELECT content FROM kv WHERE name = '7f3a'").encode()
@@ -203,7 +203,7 @@
 @scene(open_harness)
 async def test_bytes_and_a_request_that_meet_on_an_idle_connection(harness: Harness, bytes_first: bool) -> None:
     """Half a message before the request: the connection is not used. Half a message after it: the job may have run."""
-    server_writers: list[asyncio.StreamWriter] = []
+    server_writers, received = list[asyncio.StreamWriter](), list[bytes]()
     full_error = pg.make_error("53300", "full").encode() + pg.make_ready().encode()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -211,7 +211,9 @@
         head = await reader.readexactly(4)
         await reader.readexactly(int.from_bytes(head, "big") - 4)
         writer.write(pg.make_authentication(0).encode() + pg.make_ready().encode())
-        while await reader.read(1000):
+        while data := await reader.read(1000):
+            received.append(data)
+            writer.write(EMPTY + READY)
             if len(server_writers) > 1:
                 writer.write(full_error)
 
@@ -219,7 +221,7 @@
     harness.servers.set_address(1, ("127.0.0.1", listener.sockets[0].getsockname()[1]))
     first, job = ScriptedJob(), ScriptedJob()
     harness.launch(first)
-    await harness.until(lambda: harness.pool.busy)
+    await harness.until(lambda: received)
     server_writers[0].write(full_error)
     assert await harness.ended(first) is Outcome.FULL
     (connection,) = harness.pool.idle
