After a stop discovery's news is read before clients' input is handled

Cause: all is found in one poll; a request is handled at once, an answer of discovery takes some turns (transport/turns.py). Change: for 8 turns after a stop clients' input waits; a stop in the middle of a turn is noticed too (gateway/clock.py).

--- a/oatlink/gateway/clock.py
+++ b/oatlink/gateway/clock.py
@@ -22,6 +22,7 @@
 from tornado.iostream import IOStream
 
 CLIENTS_PER_TURN = 64  # about 10 ms of work
+SETTLING_TURNS = 8  # after a stop: as many as it takes to read an answer of discovery and to apply it
 STALL_MARGIN_US = 100_000  # a loop that was idle for longer than its heartbeat by this was stopped meanwhile
 # Of `struct tcp_info` in the kernel's linux/tcp.h: eight bytes, then numbers of 32 bits.
 TCP_INFO_LAST_DATA_OFFSET_BYTES = 8 + 11 * 4  # of `tcpi_last_data_recv`, in milliseconds before now
@@ -51,6 +52,7 @@
         self._heartbeat_us = heartbeat_us
         self._idle_since_us = 0
         self.stalled_since_us = 0  # when the process was stopped, until the loop is idle again; 0 if it was not
+        self._settling_turns = 0  # that are left
         self._admitted_count = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._began_us = 0
@@ -59,13 +61,15 @@
         self._was_used = False  # whether the current turn was asked for its time, or admitted a client
 
     def turn_began_us(self) -> int:
-        """When this turn began; the present time if the loop was idle before."""
+        """When this turn began; the present time if the loop was idle before, or the process stopped meanwhile."""
         self._was_used = True
         if not self._is_timing:
             self._is_timing = True
             self._began_us = self.previous_began_us = now_us()
-            self._detect_stall()
+            self._detect_stall(self._idle_since_us, self._began_us)
             asyncio.get_running_loop().call_soon(self._begin_turn)
+        elif self._heartbeat_us is not None and not self.stalled_since_us:
+            self._detect_stall(self._began_us, now_us())
         return self._began_us
 
     def _begin_turn(self) -> None:
@@ -74,6 +78,7 @@
             self._was_used = False
             self.previous_began_us, self._began_us = self._began_us, now_us()
             self._admitted_count = 0
+            self._settling_turns = max(0, self._settling_turns - 1)
             while self._waiting and self._admitted_count < CLIENTS_PER_TURN:
                 admission = self._waiting.popleft()
                 if not admission.done():
@@ -83,15 +88,22 @@
             asyncio.get_running_loop().call_soon(self._begin_turn)
         else:
             self._is_timing = False
-            self._admitted_count = self.stalled_since_us = 0
+            self._admitted_count = self.stalled_since_us = self._settling_turns = 0
             self._idle_since_us = now_us()
 
-    def _detect_stall(self) -> None:
-        if self._heartbeat_us is None or not self._idle_since_us:
+    def _detect_stall(self, since_us: int, at_us: int) -> None:
+        """Notice that the process was stopped, if the loop did nothing since a time for longer than it should."""
+        if self._heartbeat_us is None or not since_us:
             return
-        due_us = self._idle_since_us + self._heartbeat_us
-        if self._began_us > due_us + STALL_MARGIN_US:
-            self.stalled_since_us = due_us
+        due_us = since_us + self._heartbeat_us
+        if at_us > due_us + STALL_MARGIN_US:
+            self.stalled_since_us, self._settling_turns = due_us, SETTLING_TURNS
+            self._began_us = at_us
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether the process was stopped a few turns ago: new requests should wait for news that came before them."""
+        return self._settling_turns > 0
 
     @property
     def waiting_count(self) -> int:
--- a/oatlink/transport/turns.py
+++ b/oatlink/transport/turns.py
@@ -6,6 +6,9 @@
 Clients that have sent requests go before those that have not. Otherwise a request would wait for one message of each
 of the others, and hundreds of clients that connect, send something that takes long to parse, and connect again would
 keep all requests waiting past their time.
+
+After the process was stopped, all wait for some turns. Otherwise requests that came during the stop would be handled
+before the list of servers that came with them, and be sent to a server that drains.
 """
 
 import asyncio
@@ -63,10 +66,14 @@
             del handled  # it refers to an error whose traceback refers to this frame
 
     def _may_run_now(self, is_requester: bool) -> bool:
-        if self._waiting_requesters or (self._waiting_newcomers and not is_requester):
+        if self._is_settling() or self._waiting_requesters or (self._waiting_newcomers and not is_requester):
             return False
         return self._has_time()
 
+    def _is_settling(self) -> bool:
+        self._turn_clock.turn_began_us()
+        return self._turn_clock.is_settling
+
     def _has_time(self) -> bool:
         turn_began_us = self._turn_clock.turn_began_us()
         if turn_began_us != self._turn_began_us:
@@ -87,6 +94,8 @@
         """Give those that wait their turn as far as time allows; who asks meanwhile waits for the next turn."""
         self._is_scheduled = False
         try:
+            if self._is_settling():
+                return
             requester_count, newcomer_count = len(self._waiting_requesters), len(self._waiting_newcomers)
             self._run_first(self._waiting_requesters, requester_count)
             if requester_count and newcomer_count and not self._has_time():
