The memory at rest is read from the kernel, not from a peak that a process inherits

Seen in my own review of the account of memory: getrusage's peak is inherited from the process that started this one, over exec too. Started by a process of 300 MB, the gateway would take 322 MB for its size at rest and keep the least budget there is. Change: platform/process_memory.py reads /proc/self/statm; the peak only where there is no such file. Failed before: test_the_memory_at_rest_is_not_that_of_the_process_that_started_it (322,228,224 bytes of at most 100 MB). Measured: that test and the division of memory pass.

--- a/oatlink/platform/gateway.py
+++ b/oatlink/platform/gateway.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import resource
 import signal
 import socket
 from collections import deque
@@ -25,6 +24,7 @@
 from oatlink.platform.discovery import Discovery, News
 from oatlink.platform.jobs import AttemptJob, CheckJob
 from oatlink.platform.memory import HeldBytes
+from oatlink.platform.process_memory import resident_bytes
 from oatlink.platform.reload import Reload
 from oatlink.platform.reply import Answer, parse_load_report
 from oatlink.platform.server_list import ServerList
@@ -59,7 +59,7 @@
         self._deadline_timer = Timer(self._expire)  # for the earliest deadline of an open request
         self._router_timer = Timer(self._router_timer_fired)
         self._router_timer_set = api.SetTimer("", 0)  # last, to an earlier time or once it had fired
-        self._budget = Budget.of(config.limits, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024)
+        self._budget = Budget.of(config.limits, resident_bytes())
         bounds = Bounds(config.dial_s, config.idle_s, self._budget.server_connections)
         self._servers = Servers(bounds, self._turn_clock, self.note, self._track_task)
         self._list = ServerList(self._servers, self._unix_clock)
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import subprocess
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -105,6 +106,17 @@
     assert small <= middle < large < (192 << 20) - resting_bytes
 
 
+def test_the_memory_at_rest_is_not_that_of_the_process_that_started_it() -> None:
+    """Guards against a gateway without room for requests: it took the peak of a large process that had started it."""
+    child = "from oatlink.platform.process_memory import resident_bytes; print(resident_bytes())"
+    launcher = (
+        "import subprocess, sys; held = bytearray(b'x') * (300 << 20);"
+        f"subprocess.run([sys.executable, '-c', {child!r}], preexec_fn=int)"  # with it the process is copied first
+    )
+    printed = subprocess.run([sys.executable, "-c", launcher], cwd=ROOT, capture_output=True, check=True).stdout
+    assert 1 << 20 < int(printed) < 100 << 20
+
+
 def test_a_request_counts_as_long_as_it_exists_and_one_is_always_allowed() -> None:
     held = HeldBytes(100 * LARGE_BYTES)
     size = 30 * LARGE_BYTES
