Discovery: an overdue watch goes on if the one made after it has already failed

Seen on reading the whole change again: a watch call is overdue, the one made after it fails at once (a crowded discovery turns it away), then the late answer comes. The old watch took the ended one for a running watch and ended too; after news the Router asks for none, so no watch was left and later drains were not heard. Cause: follow() looks whether the watch is done, the new look beside it did not. Both ask _is_watching now. Failed before: test_an_overdue_watch_goes_on_if_the_one_after_it_has_failed (no call within 20 s).

--- a/oatlink/platform/discovery/watch.py
+++ b/oatlink/platform/discovery/watch.py
@@ -58,13 +58,18 @@
     def version(self, version: int) -> None:
         self._versions.set_version(version)
 
+    @property
+    def _is_watching(self) -> bool:
+        """Whether a watch is running, not counting one whose call is overdue."""
+        return self._watch is not None and not self._watch.done()
+
     def wait(self, wait_s: float) -> None:
         """Set how long a watch call may wait, from the next call on."""
         self._wait_s = wait_s
 
     def follow(self) -> None:
         """Start a watch, unless one is running."""
-        if self._watch is None or self._watch.done():
+        if not self._is_watching:
             self._watch = asyncio.ensure_future(self._follow())
 
     def fetch(self) -> None:
@@ -111,8 +116,9 @@
                 has_gone_back = False
             if status is None or closed_count != self._closed_count:
                 return
-            self._watch = self._watch or asyncio.current_task()
-            if self._watch is not asyncio.current_task():
+            if not self._is_watching:
+                self._watch = asyncio.current_task()  # its call was overdue, and no other watch runs
+            elif self._watch is not asyncio.current_task():
                 return
             wait_s = self._wait_s
 
--- a/tests/test_discovery_calls.py
+++ b/tests/test_discovery_calls.py
@@ -164,6 +164,17 @@
     assert script.has_no_calls, "the watch that was overtaken has ended"
 
 
+@scene(Script, PATIENCE_S, WAIT_S)
+async def test_an_overdue_watch_goes_on_if_the_one_after_it_has_failed(script: Script) -> None:
+    """Guards against a client without any watch: after news the Router does not ask for another one."""
+    overdue = await script.follow()
+    assert await script.next_news() is None
+    other = await script.follow()
+    assert await script.next_news(other, answer(b"", "503 Service Unavailable")) is None
+    assert await script.next_news(overdue, whole(7, a="terminating")) == (7, {"a"})
+    assert (await script.call()).path.startswith(f"{WHOLE}?since=7&")
+
+
 @pytest.mark.parametrize("data", [b"", answer(b"", "503 Service Unavailable")], ids=["end", "503"])
 @scene(Script, WAIT_S, WAIT_S)
 async def test_a_call_that_fails_when_it_is_overdue_is_one_failure(script: Script, data: bytes) -> None:
